--- /dev/null
+++ b/tuliptrack/brain.py
@@ -0,0 +1,402 @@
+"""Every decision of tuliptrack. Its settings, events and actions are defined in `interface.py`,
+the plain records it keeps in `state.py`.
+
+A request meets, in this order: `_arrive` (worth and refusal), `_pick_reader` (hash home, score spill),
+`_pick_writer` (fewest projected own tokens) and `_ended` (what follows an attempt). Health of readers and
+writers is one notion, `_suspect`; every attempt leaves through `_send`, every answer through `_finish`.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from statistics import median_low
+
+from tuliptrack.interface import (
+    Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Outcome, Refuse,
+    Release, Request, Role, Send, Server, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
+)
+from tuliptrack.state import Flight, Seat
+
+QUEUE_THRESHOLD = 12.0  # requests: a home's depth past which it spills; about half a reader's told aim of work
+LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
+SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, so a change shows in a second
+SLOW_RATIO = 3.0  # times the peers' pace at which a server is suspect: past the spread that a hot home makes
+SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
+PATIENCE = 0.4  # share of the aim after which an attempt at a suspect server is taken elsewhere
+TRIAL_US = 700_000  # microseconds between trial sends to a suspect server, doubled at each failure, jittered
+TRIAL_DOUBLINGS = 3  # so the longest wait is about 6 s: under the time that a crashed server takes to return
+NEAR_TIE = 0.1  # share of the mean load by which a writer in the reader's cell may lie above the least loaded
+MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
+COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
+QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
+SUBSCRIBE_TOKEN = 1 << 60  # timer token above all request ids: time to ask for the server list again
+SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
+
+_MASK = (1 << 64) - 1
+_PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
+_BROKEN = (Status.CONNECT_FAILED, Status.RESET, Status.ERROR)  # what speaks against the server's health
+
+
+def _mix(value: int) -> int:
+    """A fixed 64-bit mixer, so that all nodes and processes rank homes alike."""
+    value = (value + 0x9E3779B97F4A7C15) & _MASK
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
+    return value ^ (value >> 31)
+
+
+class Router:
+    """The decisions of one node. `handle` takes what has happened and returns what to do."""
+
+    def __init__(self, settings: Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = Random(seed)
+        self.now = 0
+        self.out: list[Action] = []
+        self.seats: dict[int, Seat] = {}
+        self.flights: dict[int, Flight] = {}
+        self.quota: dict[int, tuple[float, int]] = {}
+        self.peer_pace: dict[Role, float] = {}
+        self.shedding = False
+        has_load = "inflight" in settings.report_fields
+        self.threshold = QUEUE_THRESHOLD if has_load else QUEUE_THRESHOLD / settings.replicas
+        self.top_worth = max(c.worth for c in settings.classes)
+        self.low_worth = min(c.worth for c in settings.classes)
+
+    def handle(self, now: int, events: list[Event]) -> list[Action]:
+        """Take the events of one moment, in order; return the actions, in order."""
+        self.now, self.out = now, []
+        self.peer_pace.clear()
+        for event in events:
+            match event:
+                case Request():
+                    self._arrive(event)
+                case Outcome():
+                    self._outcome(event)
+                case Started():
+                    self._started(event)
+                case Timer():
+                    self._timer(event.token)
+                case ClientGone():
+                    self._client_gone(event.id)
+                case FleetChange():
+                    self._fleet(event)
+        return self.out
+
+    # -- the server list
+
+    def _fleet(self, change: FleetChange) -> None:
+        if change.kind is ListKind.FAILED:
+            self.out.append(SetTimer(int(SUBSCRIBE_US * (1 + self.random.random())), SUBSCRIBE_TOKEN))
+            return
+        if change.kind is ListKind.CACHED and self.settings.must_subscribe:
+            self.out.append(Subscribe(True))
+        if change.kind is not ListKind.DELTA:
+            named = {server.id for server in change.servers}
+            for seat in self.seats.values():
+                if seat.info.id not in named:
+                    seat.info = Server(seat.info.id, seat.info.kind, ServerState.GONE)
+        for info in change.servers:
+            seat = self.seats.get(info.id)
+            role = self.settings.roles[info.kind] if info.kind < len(self.settings.roles) else Role.WRITE
+            if seat is None:
+                self.seats[info.id] = Seat(info, role)
+            elif info.started_at > seat.info.started_at:
+                # A new process under the old id: what the old one did says nothing of it.
+                self.seats[info.id] = Seat(info, role, open=seat.open, tokens=seat.tokens,
+                                           waiting=seat.waiting, sends=seat.sends)
+                for flight in self.flights.values():
+                    flight.at = self.seats[info.id] if flight.at is seat else flight.at
+                    flight.held = self.seats[info.id] if flight.held is seat else flight.held
+            else:
+                seat.info = info
+
+    # -- arrival: worth and refusal
+
+    def _arrive(self, request: Request) -> None:
+        cls = self.settings.classes[request.cls]
+        answer = request.max_tokens / 2
+        if request.hint is not None and cls.token_aim:
+            answer = request.hint / cls.token_aim
+        aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
+        flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
+        self.flights[request.id] = flight
+        worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
+        refuse = worth < self.top_worth and self._all_past(LOW_TIER if worth < self.low_worth else 1.0)
+        if refuse != self.shedding:
+            self.shedding = refuse
+        if refuse:
+            self._finish(flight)
+        else:
+            self._read(flight)
+
+    def _over_share(self, request: Request) -> bool:
+        """Whether the tenant is past its quota at this node: a bucket filled at its share of a replica."""
+        if request.tenant >= len(self.settings.tenants):
+            return False
+        rate = self.settings.tenants[request.tenant].quota_per_s / self.settings.replicas
+        saved, since = self.quota.get(request.tenant, (rate * QUOTA_BURST_S, self.now))
+        saved = min(saved + rate * (self.now - since) / 1e6, rate * QUOTA_BURST_S)
+        over = saved < 1
+        self.quota[request.tenant] = (saved if over or request.repeat else saved - 1, self.now)
+        return over
+
+    def _all_past(self, share: float) -> bool:
+        """Whether every reader is past that share of the threshold, waiting states counted at once."""
+        readers = [s for s in self._seats(Role.READ) if self._usable(s)]
+        return all(self._depth(s) + s.waiting > self.threshold * share for s in readers)
+
+    # -- the first stage: a reader
+
+    def _read(self, flight: Flight) -> None:
+        seat = self._pick_reader(flight)
+        if seat is None:
+            self._finish(flight)
+        else:
+            self._send(flight, seat)
+
+    def _pick_reader(self, flight: Flight) -> Seat | None:
+        listed = [s for s in self._seats(Role.READ) if s.info.id not in flight.tried and self._in_group(flight, s)]
+        pool = [s for s in listed if self._usable(s)] or [s for s in listed if self._within_cold_budget(s)]
+        if not pool:
+            return None
+        key = flight.request.prefix or flight.request.session
+        home = max(pool, key=lambda s: self._rank(key, s))
+        if self._depth(home) <= self.threshold:
+            return home
+        return min(pool, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
+
+    def _rank(self, key: int, seat: Seat) -> float:
+        """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
+        share = (_mix(key ^ _mix(seat.info.id)) + 1) / (_MASK + 2)
+        return seat.info.weight / -math.log(share)
+
+    def _depth(self, seat: Seat) -> float:
+        return seat.depth + len(seat.open)
+
+    def _latency(self, seat: Seat) -> float:
+        """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
+        oldest = next(iter(seat.open.values()), None)
+        return max(seat.latency, self.now - oldest.sent if oldest else 0, 1)
+
+    # -- the second stage: a writer
+
+    def _write(self, flight: Flight) -> None:
+        seat = self._pick_writer(flight)
+        if seat is None:
+            self._finish(flight)
+        else:
+            self._send(flight, seat)
+
+    def _pick_writer(self, flight: Flight) -> Seat | None:
+        listed = [s for s in self._seats(Role.WRITE) if s.info.id not in flight.tried and self._in_group(flight, s)]
+        pool = [s for s in listed if self._usable(s)] or [s for s in listed if self._within_cold_budget(s)]
+        if not pool:
+            return None
+        bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
+        pool = [s for s in pool if s.memory <= bound]
+        least = min(self._load(s) for s in pool)
+        mean = sum(self._load(s) for s in pool) / len(pool)
+        near = [s for s in pool if self._load(s) <= least + NEAR_TIE * mean]
+        held = flight.held
+        return min(near, key=lambda s: (held is None or s.info.cell != held.info.cell, self._load(s), s.info.id))
+
+    def _load(self, seat: Seat) -> float:
+        memory = self.settings.memory_tokens
+        room = memory[seat.info.kind] if seat.info.kind < len(memory) else 1.0
+        return seat.tokens / (room * max(seat.info.weight, 1e-6))
+
+    # -- health and guards, one notion for both stages
+
+    def _seats(self, role: Role) -> list[Seat]:
+        return [s for s in self.seats.values()
+                if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
+
+    def _pace(self, seat: Seat) -> float:
+        oldest = next(iter(seat.open.values()), None)
+        return max(seat.pace, (self.now - oldest.sent) / oldest.aim if oldest else 0.0)
+
+    def _suspect(self, seat: Seat) -> bool:
+        """Failed lately, or far slower than its peers; where all are slow together, none is suspect."""
+        if seat.fails:
+            return True
+        if seat.role not in self.peer_pace:
+            self.peer_pace[seat.role] = median_low(
+                [self._pace(s) for s in self.seats.values()
+                 if s.role is seat.role and s.info.state is ServerState.READY] or [0.0])
+        return self._pace(seat) > max(SLOW_FLOOR, SLOW_RATIO * self.peer_pace[seat.role])
+
+    def _usable(self, seat: Seat) -> bool:
+        if not self._within_cold_budget(seat):
+            return False
+        return not self._suspect(seat) or (self.now >= seat.trial_at and not seat.open)
+
+    def _within_cold_budget(self, seat: Seat) -> bool:
+        """Keeps a cold server's sends, in any span of the rule, to its ramped part of what warm peers get."""
+        age = self.now - seat.info.started_at
+        if not seat.info.started_at or age >= self.settings.cold_for:
+            return True
+        warm = [self._recent(s) for s in self.seats.values() if s.role is seat.role and s is not seat]
+        ramp = self.settings.cold_from + (1 - self.settings.cold_from) * age / self.settings.cold_for
+        mean = sum(warm) / len(warm) if warm else 0.0
+        return self._recent(seat) < max(1.0, COLD_MARGIN * ramp * mean)
+
+    def _recent(self, seat: Seat) -> int:
+        while seat.sends and seat.sends[0] < self.now - self.settings.fall_window:
+            seat.sends.popleft()
+        return len(seat.sends)
+
+    def _in_group(self, flight: Flight, seat: Seat) -> bool:
+        """Whether a send there can't double an effect, given what may already have run."""
+        if flight.effect is None or flight.cls.effect is Effect.SAFE or seat.role is Role.READ:
+            return True
+        sent, first = flight.effect
+        if flight.cls.effect is Effect.UNSAFE or self.now - sent > flight.cls.dedup_window:
+            return False
+        scope = flight.cls.key_scope
+        return scope is KeyScope.ALL or (seat.info.zone == first.zone
+                                         and (scope is KeyScope.ZONE or seat.info.cell == first.cell))
+
+    # -- attempts
+
+    def _send(self, flight: Flight, seat: Seat) -> None:
+        """The one place where attempts leave: never a second one out, none too late, none too many."""
+        if flight.attempts >= self.settings.max_attempts or self.now >= flight.due:
+            self._finish(flight)
+            return
+        if seat.trial_at <= self.now:
+            seat.trial_at = self.now + int(TRIAL_US * (0.5 + self.random.random()))
+        flight.attempts += 1
+        flight.at, flight.sent = seat, self.now
+        seat.open[flight.request.id] = flight
+        seat.sends.append(self.now)
+        self._recent(seat)
+        if seat.role is not Role.READ:
+            seat.tokens += flight.cost
+        if flight.held:
+            flight.held.waiting += 1
+        self.out.append(Send(flight.request.id, seat.info.id))
+        self._watch(flight)
+
+    def _watch(self, flight: Flight) -> None:
+        delay = max(int(PATIENCE * flight.aim), self.settings.tick)
+        if self.now + delay < flight.due:
+            self.out.append(SetTimer(delay, flight.request.id * 256 + flight.attempts))
+
+    def _timer(self, token: int) -> None:
+        if token == SUBSCRIBE_TOKEN:
+            self.out.append(Subscribe(True))
+            return
+        flight = self.flights.get(token // 256)
+        if not flight or not flight.at or flight.started or flight.ended or flight.attempts != token % 256:
+            return
+        seat = flight.at
+        elsewhere = any(s is not seat and not self._suspect(s) for s in self._seats(
+            Role.WRITE if flight.held else Role.READ))
+        if self.settings.may_cancel and self._suspect(seat) and elsewhere:
+            self.out.append(Cancel(flight.request.id, flight.attempts - 1))
+        else:
+            self._watch(flight)
+
+    def _started(self, event: Started) -> None:
+        flight = self.flights.get(event.id)
+        if flight is None or flight.at is None:
+            return
+        flight.started = True
+        seat = flight.at
+        if seat.open.pop(event.id, None):
+            self._good(seat, event.latency, flight)
+        self._let_go(flight)
+
+    def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
+        seat.fails = 0
+        seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
+        if seat.role is not Role.WRITE and flight.held is None:
+            seat.latency += (SMOOTHING if seat.latency else 1.0) * (latency - seat.latency)
+
+    def _let_go(self, flight: Flight) -> None:
+        """The state no longer waits for this attempt's writer."""
+        if flight.held and flight.at:
+            flight.held.waiting -= 1
+
+    def _outcome(self, event: Outcome) -> None:
+        flight = self.flights.get(event.id)
+        self._report(self.seats.get(event.server), event.load)
+        if flight is None or flight.at is None:
+            if event.status is Status.READ:
+                self.out.append(Release(event.id))
+            return
+        seat = flight.at
+        waited = seat.open.pop(event.id, None) is not None
+        if waited:
+            self._let_go(flight)
+        if seat.role is not Role.READ:
+            seat.tokens = max(seat.tokens - flight.cost, 0.0)
+            if event.status not in _PROVEN and flight.effect is None:
+                flight.effect = (flight.sent, seat.info)
+        flight.at = None
+        if event.status is Status.READ:
+            self._good(seat, event.latency, flight)
+            flight.held = seat
+        elif event.status in _BROKEN and flight.sent >= seat.failed_at:
+            # Many attempts break at once when a process dies: they count as one failure.
+            seat.failed_at = self.now
+            seat.fails = min(seat.fails + 1, TRIAL_DOUBLINGS + 1)
+            seat.trial_at = self.now + int(TRIAL_US * (0.5 + self.random.random()) * 2 ** (seat.fails - 1))
+        if event.state_lost:
+            flight.held = None
+        if event.over or flight.ended:
+            flight.ended = True
+            self._finish(flight)
+        else:
+            self._next(flight, seat, event.status)
+
+    def _report(self, seat: Seat | None, load: tuple[float, ...]) -> None:
+        if seat is None:
+            return
+        for name, value in zip(self.settings.report_fields, load):
+            if name == ("queue" if seat.role is Role.BOTH else "inflight"):
+                seat.depth = value
+            elif name == "x0":
+                seat.memory = value
+
+    def _next(self, flight: Flight, seat: Seat, status: Status) -> None:
+        """What follows an attempt that has not answered: the next stage, another server, or the end."""
+        if status is Status.READ:
+            flight.tried.clear()
+        else:
+            flight.tried.append(seat.info.id)
+        if status is Status.MOOT or self.now >= flight.due:
+            self._finish(flight)
+        elif flight.held:
+            self._write(flight)
+        else:
+            self._read(flight)
+
+    # -- the end
+
+    def _client_gone(self, request_id: int) -> None:
+        flight = self.flights.get(request_id)
+        if flight is None or flight.ended:
+            return
+        flight.ended = True
+        if flight.at is None:
+            self._finish(flight)
+        elif self.settings.may_cancel and not flight.started:
+            self.out.append(Cancel(request_id, flight.attempts - 1))
+
+    def _finish(self, flight: Flight) -> None:
+        """The one place where requests end: what is held is let go, and one answer goes out if one is owed."""
+        request_id = flight.request.id
+        del self.flights[request_id]
+        if flight.held and not flight.started:
+            self.out.append(Release(request_id))
+        if flight.ended:
+            return
+        harmless = flight.effect is None or flight.cls.effect is Effect.SAFE or (
+            flight.cls.effect is Effect.KEYED and flight.cls.key_scope is KeyScope.ALL)
+        if harmless and self.now < flight.due:
+            self.out.append(Refuse(request_id))
+        else:
+            self.out.append(Fail(request_id))
--- /dev/null
+++ b/tuliptrack/state.py
@@ -0,0 +1,62 @@
+"""Plain records that the decision module keeps; no decision is made here."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from tuliptrack.interface import Request, RequestClass, Role, Server
+
+
+@dataclass(slots=True)
+class Seat:
+    """What one node knows of one server: its list entry, its last report and its own traffic there."""
+
+    info: Server
+    role: Role
+    depth: float = 0.0
+    """Requests in flight (a reader) or queued (a mixed server) by the last report; 0 where none came."""
+    memory: float = 0.0
+    """Share of memory held by the last report."""
+    latency: float = 0.0
+    """Smoothed time to the end of a read, in microseconds; 0 before the first."""
+    pace: float = 0.0
+    """Smoothed time to a read's end or a first token, as a share of the request's aim."""
+    tokens: float = 0.0
+    """Projected tokens of this node's own streams there."""
+    failed_at: int = -1
+    """When the last failure came; a success sets it back to -1."""
+    fails: int = 0
+    trial_at: int = 0
+    """When the next trial send may go to a server that is suspect."""
+    waiting: int = 0
+    """This node's states that were read there and wait for a writer."""
+    open: dict[int, Flight] = field(default_factory=dict)
+    """This node's attempts there that have neither ended nor started to answer, oldest first."""
+    sends: deque[int] = field(default_factory=deque)
+    """Times of this node's sends there within the cold budget's window."""
+
+
+@dataclass(slots=True)
+class Flight:
+    """One request from arrival to its last outcome."""
+
+    request: Request
+    cls: RequestClass
+    due: int
+    aim: int
+    cost: float
+    """Projected tokens: the prompt and the answer that is to be expected."""
+    attempts: int = 0
+    at: Seat | None = None
+    """The server at which the newest attempt is out."""
+    sent: int = 0
+    held: Seat | None = None
+    """The reader that holds the read state."""
+    started: bool = False
+    ended: bool = False
+    """A final answer was given, or the client has left; only outcomes are awaited."""
+    effect: tuple[int, Server] | None = None
+    """When and where the first attempt was sent that may have run."""
+    tried: list[int] = field(default_factory=list)
+    """Servers that turned this request away or failed it."""
