--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -59,8 +59,8 @@
         self.quota: dict[int, tuple[float, int]] = {}
         self.peer_pace: dict[Role, float] = {}
         self.shedding = False
-        has_load = "inflight" in settings.report_fields
-        self.threshold = QUEUE_THRESHOLD if has_load else QUEUE_THRESHOLD / settings.replicas
+        self.has_depth = "inflight" in settings.report_fields
+        self.threshold = QUEUE_THRESHOLD if self.has_depth else QUEUE_THRESHOLD / settings.replicas
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
 
@@ -104,7 +104,7 @@
                 self.seats[info.id] = Seat(info, role)
             elif info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                self.seats[info.id] = Seat(info, role, open=seat.open, tokens=seat.tokens,
+                self.seats[info.id] = Seat(info, role, open=seat.open, tokens=seat.tokens, streams=seat.streams,
                                            waiting=seat.waiting, sends=seat.sends)
                 for flight in self.flights.values():
                     flight.at = self.seats[info.id] if flight.at is seat else flight.at
@@ -173,7 +173,10 @@
         return seat.info.weight / -math.log(share)
 
     def _depth(self, seat: Seat) -> float:
-        return seat.depth + len(seat.open)
+        """What stands there: by the last report, and of this node's own. A mixed server's running answers
+        count as its reports count them, since each read there slows all of them."""
+        own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
+        return seat.depth + len(seat.open) + own
 
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
@@ -305,6 +308,7 @@
             return
         flight.started = True
         seat = flight.at
+        seat.streams += 1
         if seat.open.pop(event.id, None):
             self._good(seat, event.latency, flight)
         self._let_go(flight)
@@ -328,9 +332,10 @@
                 self.out.append(Release(event.id))
             return
         seat = flight.at
-        waited = seat.open.pop(event.id, None) is not None
-        if waited:
+        if seat.open.pop(event.id, None):
             self._let_go(flight)
+        else:
+            seat.streams -= 1
         if seat.role is not Role.READ:
             seat.tokens = max(seat.tokens - flight.cost, 0.0)
             if event.status not in _PROVEN and flight.effect is None:
@@ -356,7 +361,7 @@
         if seat is None:
             return
         for name, value in zip(self.settings.report_fields, load):
-            if name == ("queue" if seat.role is Role.BOTH else "inflight"):
+            if name == "inflight":
                 seat.depth = value
             elif name == "x0":
                 seat.memory = value
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -15,7 +15,7 @@
     info: Server
     role: Role
     depth: float = 0.0
-    """Requests in flight (a reader) or queued (a mixed server) by the last report; 0 where none came."""
+    """Requests in flight by the last report; 0 where none came."""
     memory: float = 0.0
     """Share of memory held by the last report."""
     latency: float = 0.0
@@ -24,6 +24,8 @@
     """Smoothed time to a read's end or a first token, as a share of the request's aim."""
     tokens: float = 0.0
     """Projected tokens of this node's own streams there."""
+    streams: int = 0
+    """This node's answers that have started there."""
     failed_at: int = -1
     """When the last failure came; a success sets it back to -1."""
     fails: int = 0
