Reports fade in 2 s: a refused reader gets no sends and so stayed refused on its last report

Covers any stale report; could hurt where a reader is hung with a deep queue, which the age of its oldest read covers.

--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -30,6 +30,7 @@
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
 COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
+REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: a server that gets no sends sends no reports
 SUBSCRIBE_TOKEN = 1 << 60  # timer token above all request ids: time to ask for the server list again
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
 
@@ -176,7 +177,8 @@
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
         count as its reports count them, since each read there slows all of them."""
         own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
-        return seat.depth + len(seat.open) + own
+        fresh = max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
+        return seat.depth * fresh + len(seat.open) + own
 
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
@@ -358,8 +360,9 @@
             self._next(flight, seat, event.status)
 
     def _report(self, seat: Seat | None, load: tuple[float, ...]) -> None:
-        if seat is None:
+        if seat is None or not load:
             return
+        seat.told_at = self.now
         for name, value in zip(self.settings.report_fields, load):
             if name == "inflight":
                 seat.depth = value
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -16,6 +16,8 @@
     role: Role
     depth: float = 0.0
     """Requests in flight by the last report; 0 where none came."""
+    told_at: int = 0
+    """When the last report came."""
     memory: float = 0.0
     """Share of memory held by the last report."""
     latency: float = 0.0
