The queue threshold is told in time: depth times the time between two ends, against half the aim

Covers slow fleets, bursts and heavy prompts alike; could hurt where one slow read between two ends makes an idle reader look long (the gap counts only while a read is out).

--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -18,8 +18,9 @@
 )
 from tuliptrack.state import Flight, Seat
 
-QUEUE_THRESHOLD = 12.0  # requests: a home's depth past which it spills; about half a reader's told aim of work
+QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take: past it a home spills, and all past it refuse
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
+TOP_TIER = 2.5  # times the threshold at which top worth is refused too: it could only be late from there on
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, so a change shows in a second
 SLOW_RATIO = 3.0  # times the peers' pace at which a server is suspect: past the spread that a hot home makes
 SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
@@ -61,7 +62,6 @@
         self.peer_pace: dict[Role, float] = {}
         self.shedding = False
         self.has_depth = "inflight" in settings.report_fields
-        self.threshold = QUEUE_THRESHOLD if self.has_depth else QUEUE_THRESHOLD / settings.replicas
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
 
@@ -124,7 +124,8 @@
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
         self.flights[request.id] = flight
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
-        refuse = worth < self.top_worth and self._all_past(LOW_TIER if worth < self.low_worth else 1.0)
+        tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
+        refuse = self._outlook(flight) > tier * QUEUE_THRESHOLD * aim
         if refuse != self.shedding:
             self.shedding = refuse
         if refuse:
@@ -143,10 +144,13 @@
         self.quota[request.tenant] = (saved if over or request.repeat else saved - 1, self.now)
         return over
 
-    def _all_past(self, share: float) -> bool:
-        """Whether every reader is past that share of the threshold, waiting states counted at once."""
-        readers = [s for s in self._seats(Role.READ) if self._usable(s)]
-        return all(self._depth(s) + s.waiting > self.threshold * share for s in readers)
+    def _outlook(self, flight: Flight) -> float:
+        """Microseconds to a first token at the best reader and the best writer. Each writer's queue counts from
+        the start, since read states that wait for one show late in any reader's report."""
+        total = 0.0
+        for role in (Role.READ, Role.WRITE):
+            total += min((self._queue_us(s) for s in self._seats(role) if self._usable(s)), default=0.0)
+        return total
 
     # -- the first stage: a reader
 
@@ -164,7 +168,7 @@
             return None
         key = flight.request.prefix or flight.request.session
         home = max(pool, key=lambda s: self._rank(key, s))
-        if self._depth(home) <= self.threshold:
+        if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
             return home
         return min(pool, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
 
@@ -180,6 +184,13 @@
         fresh = max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
         return seat.depth * fresh + len(seat.open) + own
 
+    def _queue_us(self, seat: Seat) -> float:
+        """Microseconds in which the queue there is worked off: its depth times the time between two ends.
+        So the threshold, told in time, fits fast and slow servers, and all being slow is no overload by itself."""
+        gap = max(seat.gap, self.now - seat.gap_from if seat.open else 0)
+        own = len(seat.open)
+        return max((self._depth(seat) - own) / self.settings.replicas, own) * gap
+
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
         oldest = next(iter(seat.open.values()), None)
@@ -272,6 +283,8 @@
             return
         if seat.trial_at <= self.now:
             seat.trial_at = self.now + int(TRIAL_US * (0.5 + self.random.random()))
+        if not seat.open:
+            seat.gap_from = self.now
         flight.attempts += 1
         flight.at, flight.sent = seat, self.now
         seat.open[flight.request.id] = flight
@@ -317,6 +330,8 @@
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         seat.fails = 0
+        seat.gap += SMOOTHING * (self.now - seat.gap_from - seat.gap)
+        seat.gap_from = self.now
         seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
         if seat.role is not Role.WRITE and flight.held is None:
             seat.latency += (SMOOTHING if seat.latency else 1.0) * (latency - seat.latency)
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -24,6 +24,9 @@
     """Smoothed time to the end of a read, in microseconds; 0 before the first."""
     pace: float = 0.0
     """Smoothed time to a read's end or a first token, as a share of the request's aim."""
+    gap: float = 0.0
+    """Smoothed time between two ends of own attempts (a read or a first token) while one is out."""
+    gap_from: int = 0
     tokens: float = 0.0
     """Projected tokens of this node's own streams there."""
     streams: int = 0
