--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -19,6 +19,7 @@
 from tuliptrack.state import Flight, Seat
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take: past it a home spills, and all past it refuse
+SPILL_HOMES = 3  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: it could only be late from there on
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, so a change shows in a second
@@ -167,10 +168,10 @@
         if not pool:
             return None
         key = flight.request.prefix or flight.request.session
-        home = max(pool, key=lambda s: self._rank(key, s))
-        if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
-            return home
-        return min(pool, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
+        homes = sorted(pool, key=lambda s: -self._rank(key, s))[:SPILL_HOMES]
+        if self._queue_us(homes[0]) <= QUEUE_THRESHOLD * flight.aim:
+            return homes[0]
+        return min(homes, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
 
     def _rank(self, key: int, seat: Seat) -> float:
         """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
