--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -148,10 +148,9 @@
     def _outlook(self, flight: Flight) -> float:
         """Microseconds to a first token at the best reader and the best writer. Each writer's queue counts from
         the start, since read states that wait for one show late in any reader's report."""
-        total = 0.0
-        for role in (Role.READ, Role.WRITE):
-            total += min((self._queue_us(s) for s in self._seats(role) if self._usable(s)), default=0.0)
-        return total
+        reader = self._pick_reader(flight)
+        writers = [self._queue_us(s) for s in self._seats(Role.WRITE) if self._usable(s)]
+        return (self._queue_us(reader) if reader else 0.0) + min(writers, default=0.0)
 
     # -- the first stage: a reader
 
