--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -19,7 +19,7 @@
 from tuliptrack.state import Flight, Seat
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take: past it a home spills, and all past it refuse
-SPILL_HOMES = 3  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
+SPILL_HOMES = 2  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
 MIXED_HOME = 0.25  # a mixed server's part as a home for its weight: each read there slows its running answers
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: it could only be late from there on
