--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -19,8 +19,7 @@
 from tuliptrack.state import Flight, Seat
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take: past it a home spills, and all past it refuse
-SPILL_HOMES = 2  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
-MIXED_HOME = 0.25  # a mixed server's part as a home for its weight: each read there slows its running answers
+SPILL_HOMES = 3  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: it could only be late from there on
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, so a change shows in a second
@@ -168,8 +167,7 @@
         if not pool:
             return None
         key = flight.request.prefix or flight.request.session
-        homes = sorted(pool, key=lambda s: -self._rank(key, s))
-        homes = homes[:SPILL_HOMES] if flight.request.prefix else homes  # nothing shared, nothing thinned
+        homes = sorted(pool, key=lambda s: -self._rank(key, s))[:SPILL_HOMES]
         if self._queue_us(homes[0]) <= QUEUE_THRESHOLD * flight.aim:
             return homes[0]
         return min(homes, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
@@ -177,8 +175,7 @@
     def _rank(self, key: int, seat: Seat) -> float:
         """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
         share = (_mix(key ^ _mix(seat.info.id)) + 1) / (_MASK + 2)
-        weight = seat.info.weight * (MIXED_HOME if seat.role is Role.BOTH else 1.0)
-        return weight / -math.log(share)
+        return seat.info.weight / -math.log(share)
 
     def _depth(self, seat: Seat) -> float:
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
