The queue is told in tokens, not requests

Cause: a short question behind a long prompt waits for all of its tokens, and one count said nothing of it. Now own open tokens times the time per token seen there; a mixed server's running answers still count. Covers heavy prompts, slow readers, hung ones (oldest attempt).

--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -13,8 +13,29 @@
 from statistics import median_low
 
 from tuliptrack.interface import (
-    Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Outcome, Refuse,
-    Release, Request, Role, Send, Server, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
+    Action,
+    Cancel,
+    ClientGone,
+    Effect,
+    Event,
+    Fail,
+    FleetChange,
+    KeyScope,
+    ListKind,
+    Outcome,
+    Refuse,
+    Release,
+    Request,
+    Role,
+    Send,
+    Server,
+    ServerState,
+    SetTimer,
+    Settings,
+    Started,
+    Status,
+    Subscribe,
+    Timer,
 )
 from tuliptrack.state import Flight, Seat
 
@@ -61,8 +82,7 @@
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = {}
         self.peer_pace: dict[Role, float] = {}
-        self.shedding = False
-        self.has_depth = "inflight" in settings.report_fields
+        self.has_depth = "in_flight" in settings.report_fields
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
 
@@ -96,9 +116,9 @@
             self.out.append(Subscribe(True))
         if change.kind is not ListKind.DELTA:
             named = {server.id for server in change.servers}
-            for seat in self.seats.values():
-                if seat.info.id not in named:
-                    seat.info = Server(seat.info.id, seat.info.kind, ServerState.GONE)
+            for other in self.seats.values():
+                if other.info.id not in named:
+                    other.info = Server(other.info.id, other.info.kind, ServerState.GONE)
         for info in change.servers:
             seat = self.seats.get(info.id)
             role = self.settings.roles[info.kind] if info.kind < len(self.settings.roles) else Role.WRITE
@@ -107,6 +127,7 @@
             elif info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
                 self.seats[info.id] = Seat(info, role, open=seat.open, tokens=seat.tokens, streams=seat.streams,
+                                           open_work=seat.open_work,
                                            waiting=seat.waiting, sends=seat.sends)
                 for flight in self.flights.values():
                     flight.at = self.seats[info.id] if flight.at is seat else flight.at
@@ -127,8 +148,6 @@
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
         refuse = self._outlook(flight) > tier * QUEUE_THRESHOLD * aim
-        if refuse != self.shedding:
-            self.shedding = refuse
         if refuse:
             self._finish(flight)
         else:
@@ -181,15 +200,25 @@
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
         count as its reports count them, since each read there slows all of them."""
         own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
-        fresh = max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
-        return seat.depth * fresh + len(seat.open) + own
+        return seat.depth * self._fresh(seat) + len(seat.open) + own
 
     def _queue_us(self, seat: Seat) -> float:
-        """Microseconds in which the queue there is worked off: its depth times the time between two ends.
+        """Microseconds in which the tokens that wait there are worked off, at the speed that this node has seen.
         So the threshold, told in time, fits fast and slow servers, and all being slow is no overload by itself."""
-        gap = max(seat.gap, self.now - seat.gap_from if seat.open else 0)
-        own = len(seat.open)
-        return max((self._depth(seat) - own) / self.settings.replicas, own) * gap
+        # Each read at a mixed server slows the answers that run there: they count like reads that wait.
+        others = self._depth(seat) - len(seat.open) if seat.role is Role.BOTH else 0.0
+        others *= seat.busy_tokens / self.settings.replicas
+        return max(seat.open_work, others) * self._us_per_token(seat)
+
+    def _us_per_token(self, seat: Seat) -> float:
+        """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
+        oldest = next(iter(seat.open.values()), None)
+        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else 0.0
+        return max(seen, (self.now - seat.busy_from) / oldest.work) if oldest else seen
+
+    def _fresh(self, seat: Seat) -> float:
+        """How much a report still counts: a server that gets no sends sends no new ones."""
+        return max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
 
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
@@ -284,10 +313,14 @@
         if seat.trial_at <= self.now:
             seat.trial_at = self.now + int(TRIAL_US * (0.5 + self.random.random()))
         if not seat.open:
-            seat.gap_from = self.now
+            seat.busy_from = self.now
         flight.attempts += 1
         flight.at, flight.sent = seat, self.now
         seat.open[flight.request.id] = flight
+        request = flight.request
+        shared = request.prefix_tokens if request.prefix and not flight.held else 0.0
+        flight.work = max(request.prompt_tokens - shared, 1.0)
+        seat.open_work += flight.work
         seat.sends.append(self.now)
         self._recent(seat)
         if seat.role is not Role.READ:
@@ -325,13 +358,15 @@
         seat = flight.at
         seat.streams += 1
         if seat.open.pop(event.id, None):
+            seat.open_work = max(seat.open_work - flight.work, 0.0)
             self._good(seat, event.latency, flight)
         self._let_go(flight)
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         seat.fails = 0
-        seat.gap += SMOOTHING * (self.now - seat.gap_from - seat.gap)
-        seat.gap_from = self.now
+        seat.busy_us += SMOOTHING * (self.now - seat.busy_from - seat.busy_us)
+        seat.busy_tokens += SMOOTHING * (flight.work - seat.busy_tokens)
+        seat.busy_from = self.now
         seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
         if seat.role is not Role.WRITE and flight.held is None:
             seat.latency += (SMOOTHING if seat.latency else 1.0) * (latency - seat.latency)
@@ -350,6 +385,7 @@
             return
         seat = flight.at
         if seat.open.pop(event.id, None):
+            seat.open_work = max(seat.open_work - flight.work, 0.0)
             self._let_go(flight)
         else:
             seat.streams -= 1
@@ -379,9 +415,9 @@
             return
         seat.told_at = self.now
         for name, value in zip(self.settings.report_fields, load):
-            if name == "inflight":
+            if name == "in_flight":
                 seat.depth = value
-            elif name == "x0":
+            elif name == "memory_share":
                 seat.memory = value
 
     def _next(self, flight: Flight, seat: Seat, status: Status) -> None:
--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -109,7 +109,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """What a node is told when it starts; the same for every node but for `slot`."""
+    """What a node is told when it starts; the same for every node but for `slot`.
+
+    `report_fields` names the values of a load report, of which the module reads `in_flight` (requests held,
+    waiting states too) and `memory_share` (0 to 1); others are ignored.
+    """
 
     replicas: int
     classes: tuple[RequestClass, ...]
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -24,9 +24,13 @@
     """Smoothed time to the end of a read, in microseconds; 0 before the first."""
     pace: float = 0.0
     """Smoothed time to a read's end or a first token, as a share of the request's aim."""
-    gap: float = 0.0
+    open_work: float = 0.0
+    """Tokens that this node's open attempts there have to read or fetch, as far as it can tell."""
+    busy_us: float = 0.0
     """Smoothed time between two ends of own attempts (a read or a first token) while one is out."""
-    gap_from: int = 0
+    busy_tokens: float = 0.0
+    """Smoothed tokens worked off in such a time."""
+    busy_from: int = 0
     tokens: float = 0.0
     """Projected tokens of this node's own streams there."""
     streams: int = 0
@@ -58,6 +62,8 @@
     at: Seat | None = None
     """The server at which the newest attempt is out."""
     sent: int = 0
+    work: float = 1.0
+    """Tokens that the newest attempt has to read or fetch."""
     held: Seat | None = None
     """The reader that holds the read state."""
     started: bool = False
--- a/tuliptrack/wirehost.py
+++ b/tuliptrack/wirehost.py
@@ -34,6 +34,9 @@
 _LIST_KIND = {0: io.ListKind.DELTA, 1: io.ListKind.FULL, 2: io.ListKind.CACHED, 3: io.ListKind.FAILED}
 _EFFECT = {"free": io.Effect.SAFE, "guarded": io.Effect.KEYED, "single_shot": io.Effect.UNSAFE}
 
+_REPORT = {"inflight": "in_flight", "queue": "queued", "util": "utilisation", "latency_ms": "latency_ms",
+           "qps": "served_per_s", "eps": "errors_per_s", "x0": "memory_share", "x1": "tokens_waiting_k"}
+
 
 class WireError(Exception):
     """A frame, record or settings text that can't be understood; its text says what and where."""
@@ -148,7 +151,8 @@
         writers_read=bool(facts.get("writersRead", False)),
         second_copies=bool(limits.get("secondCopies", False)),
         max_retry_after=int(limits.get("maxRetryAfter", 0)), far_price=float(facts.get("farPrice", 0.0)),
-        report_fields=tuple(reporting.get("fields") or ()) if reporting.get("how") != "silent" else ())
+        report_fields=tuple(_REPORT.get(f, f) for f in reporting.get("fields") or ()
+                            if reporting.get("how") != "silent"))
 
 
 # ---------------------------------------------------------------- events in
