--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -2,7 +2,7 @@
 the plain records it keeps in `state.py`.
 
 A request meets, in this order: `_arrive` (worth and refusal), `_pick_reader` (hash home, score spill),
-`_pick_writer` (fewest projected own tokens) and `_ended` (what follows an attempt). Health of readers and
+`_pick_writer` (fewest projected own tokens) and `_outcome` (what follows an attempt). Health of readers and
 writers is one notion, `_suspect`; every attempt leaves through `_send`, every answer through `_finish`.
 """
 
@@ -39,23 +39,23 @@
 )
 from tuliptrack.state import Flight, Seat
 
-QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take: past it a home spills, and all past it refuse
-SPILL_HOMES = 3  # readers in a prefix's hash order among which it spills: wider, and each reads every prefix anew
+QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
+SPILL_HOMES = 3  # readers in a prefix's hash order to spill among; more would thin what each keeps
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
-TOP_TIER = 2.5  # times the threshold at which top worth is refused too: it could only be late from there on
-SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, so a change shows in a second
+TOP_TIER = 2.5  # times the threshold at which top worth is refused too: from there on it could only be late
+SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
 SLOW_RATIO = 3.0  # times the peers' pace at which a server is suspect: past the spread that a hot home makes
 SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
 PATIENCE = 0.4  # share of the aim after which an attempt at a suspect server is taken elsewhere
 TRIAL_US = 700_000  # microseconds between trial sends to a suspect server, doubled at each failure, jittered
 TRIAL_DOUBLINGS = 3  # so the longest wait is about 6 s: under the time that a crashed server takes to return
-NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie, moves there being free
+NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
 COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
-REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: a server that gets no sends sends no reports
-SUBSCRIBE_TOKEN = 1 << 60  # timer token above all request ids: time to ask for the server list again
+REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
+SUBSCRIBE_TOKEN = 1 << 62  # its timer's token, above all that are made of request ids
 
 _MASK = (1 << 64) - 1
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
@@ -126,12 +126,7 @@
                 self.seats[info.id] = Seat(info, role)
             elif info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                self.seats[info.id] = Seat(info, role, open=seat.open, tokens=seat.tokens, streams=seat.streams,
-                                           open_work=seat.open_work,
-                                           waiting=seat.waiting, sends=seat.sends)
-                for flight in self.flights.values():
-                    flight.at = self.seats[info.id] if flight.at is seat else flight.at
-                    flight.held = self.seats[info.id] if flight.held is seat else flight.held
+                seat.info, seat.fails, seat.pace, seat.latency, seat.memory = info, 0, 0.0, 0.0, 0.0
             else:
                 seat.info = info
 
@@ -151,7 +146,7 @@
         if refuse:
             self._finish(flight)
         else:
-            self._read(flight)
+            self._send(flight)
 
     def _over_share(self, request: Request) -> bool:
         """Whether the tenant is past its quota at this node: a bucket filled at its share of a replica."""
@@ -165,24 +160,16 @@
         return over
 
     def _outlook(self, flight: Flight) -> float:
-        """Microseconds to a first token at the best reader and the best writer. Each writer's queue counts from
-        the start, since read states that wait for one show late in any reader's report."""
+        """Microseconds to a first token at the request's reader and the best writer, whose queue counts from
+        the start: read states that wait for a writer show late in any reader's report."""
         reader = self._pick_reader(flight)
-        writers = [self._queue_us(s) for s in self._seats(Role.WRITE) if self._usable(s)]
+        writers = [self._queue_us(s) for s in self._pool(Role.WRITE, flight)]
         return (self._queue_us(reader) if reader else 0.0) + min(writers, default=0.0)
 
     # -- the first stage: a reader
 
-    def _read(self, flight: Flight) -> None:
-        seat = self._pick_reader(flight)
-        if seat is None:
-            self._finish(flight)
-        else:
-            self._send(flight, seat)
-
     def _pick_reader(self, flight: Flight) -> Seat | None:
-        listed = [s for s in self._seats(Role.READ) if s.info.id not in flight.tried and self._in_group(flight, s)]
-        pool = [s for s in listed if self._usable(s)] or [s for s in listed if self._within_cold_budget(s)]
+        pool = self._pool(Role.READ, flight)
         if not pool:
             return None
         key = flight.request.prefix or flight.request.session
@@ -203,8 +190,8 @@
         return seat.depth * self._fresh(seat) + len(seat.open) + own
 
     def _queue_us(self, seat: Seat) -> float:
-        """Microseconds in which the tokens that wait there are worked off, at the speed that this node has seen.
-        So the threshold, told in time, fits fast and slow servers, and all being slow is no overload by itself."""
+        """Microseconds in which the tokens that wait there are worked off, at the speed seen here. So
+        the threshold fits fast and slow servers, long and short prompts; slowness alone is no overload."""
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
         others = self._depth(seat) - len(seat.open) if seat.role is Role.BOTH else 0.0
         others *= seat.busy_tokens / self.settings.replicas
@@ -227,16 +214,8 @@
 
     # -- the second stage: a writer
 
-    def _write(self, flight: Flight) -> None:
-        seat = self._pick_writer(flight)
-        if seat is None:
-            self._finish(flight)
-        else:
-            self._send(flight, seat)
-
     def _pick_writer(self, flight: Flight) -> Seat | None:
-        listed = [s for s in self._seats(Role.WRITE) if s.info.id not in flight.tried and self._in_group(flight, s)]
-        pool = [s for s in listed if self._usable(s)] or [s for s in listed if self._within_cold_budget(s)]
+        pool = self._pool(Role.WRITE, flight)
         if not pool:
             return None
         bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
@@ -245,7 +224,8 @@
         mean = sum(self._load(s) for s in pool) / len(pool)
         near = [s for s in pool if self._load(s) <= least + NEAR_TIE * mean]
         held = flight.held
-        return min(near, key=lambda s: (held is None or s.info.cell != held.info.cell, self._load(s), s.info.id))
+        cell = held.info.cell if held else None
+        return min(near, key=lambda s: (s.info.cell != cell, self._load(s), s.info.id))
 
     def _load(self, seat: Seat) -> float:
         memory = self.settings.memory_tokens
@@ -258,6 +238,12 @@
         return [s for s in self.seats.values()
                 if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
 
+    def _pool(self, role: Role, flight: Flight) -> list[Seat]:
+        """Where this request may go: suspects only where nothing else is left."""
+        listed = [s for s in self._seats(role) if s.info.id not in flight.tried
+                  and self._in_group(flight, s) and self._within_cold_budget(s)]
+        return [s for s in listed if self._usable(s)] or listed
+
     def _pace(self, seat: Seat) -> float:
         oldest = next(iter(seat.open.values()), None)
         return max(seat.pace, (self.now - oldest.sent) / oldest.aim if oldest else 0.0)
@@ -273,8 +259,6 @@
         return self._pace(seat) > max(SLOW_FLOOR, SLOW_RATIO * self.peer_pace[seat.role])
 
     def _usable(self, seat: Seat) -> bool:
-        if not self._within_cold_budget(seat):
-            return False
         return not self._suspect(seat) or (self.now >= seat.trial_at and not seat.open)
 
     def _within_cold_budget(self, seat: Seat) -> bool:
@@ -305,9 +289,10 @@
 
     # -- attempts
 
-    def _send(self, flight: Flight, seat: Seat) -> None:
+    def _send(self, flight: Flight) -> None:
         """The one place where attempts leave: never a second one out, none too late, none too many."""
-        if flight.attempts >= self.settings.max_attempts or self.now >= flight.due:
+        seat = self._pick_writer(flight) if flight.held else self._pick_reader(flight)
+        if seat is None or flight.attempts >= self.settings.max_attempts or self.now >= flight.due:
             self._finish(flight)
             return
         if seat.trial_at <= self.now:
@@ -325,8 +310,6 @@
         self._recent(seat)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
-        if flight.held:
-            flight.held.waiting += 1
         self.out.append(Send(flight.request.id, seat.info.id))
         self._watch(flight)
 
@@ -360,7 +343,6 @@
         if seat.open.pop(event.id, None):
             seat.open_work = max(seat.open_work - flight.work, 0.0)
             self._good(seat, event.latency, flight)
-        self._let_go(flight)
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         seat.fails = 0
@@ -371,11 +353,6 @@
         if seat.role is not Role.WRITE and flight.held is None:
             seat.latency += (SMOOTHING if seat.latency else 1.0) * (latency - seat.latency)
 
-    def _let_go(self, flight: Flight) -> None:
-        """The state no longer waits for this attempt's writer."""
-        if flight.held and flight.at:
-            flight.held.waiting -= 1
-
     def _outcome(self, event: Outcome) -> None:
         flight = self.flights.get(event.id)
         self._report(self.seats.get(event.server), event.load)
@@ -386,7 +363,6 @@
         seat = flight.at
         if seat.open.pop(event.id, None):
             seat.open_work = max(seat.open_work - flight.work, 0.0)
-            self._let_go(flight)
         else:
             seat.streams -= 1
         if seat.role is not Role.READ:
@@ -407,32 +383,24 @@
         if event.over or flight.ended:
             flight.ended = True
             self._finish(flight)
+            return
+        # What follows an attempt that has not answered: the next stage, another server, or the end.
+        flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
+        if event.status is Status.MOOT:
+            self._finish(flight)
         else:
-            self._next(flight, seat, event.status)
+            self._send(flight)
 
     def _report(self, seat: Seat | None, load: tuple[float, ...]) -> None:
         if seat is None or not load:
             return
         seat.told_at = self.now
-        for name, value in zip(self.settings.report_fields, load):
+        for name, value in zip(self.settings.report_fields, load, strict=False):
             if name == "in_flight":
                 seat.depth = value
             elif name == "memory_share":
                 seat.memory = value
 
-    def _next(self, flight: Flight, seat: Seat, status: Status) -> None:
-        """What follows an attempt that has not answered: the next stage, another server, or the end."""
-        if status is Status.READ:
-            flight.tried.clear()
-        else:
-            flight.tried.append(seat.info.id)
-        if status is Status.MOOT or self.now >= flight.due:
-            self._finish(flight)
-        elif flight.held:
-            self._write(flight)
-        else:
-            self._read(flight)
-
     # -- the end
 
     def _client_gone(self, request_id: int) -> None:
@@ -446,7 +414,7 @@
             self.out.append(Cancel(request_id, flight.attempts - 1))
 
     def _finish(self, flight: Flight) -> None:
-        """The one place where requests end: what is held is let go, and one answer goes out if one is owed."""
+        """The one place where requests end: what is held is let go, one answer goes out if one is owed."""
         request_id = flight.request.id
         del self.flights[request_id]
         if flight.held and not flight.started:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -40,8 +40,6 @@
     fails: int = 0
     trial_at: int = 0
     """When the next trial send may go to a server that is suspect."""
-    waiting: int = 0
-    """This node's states that were read there and wait for a writer."""
     open: dict[int, Flight] = field(default_factory=dict)
     """This node's attempts there that have neither ended nor started to answer, oldest first."""
     sends: deque[int] = field(default_factory=deque)
