--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,124 @@
+"""A small world for tests of the decision module: settings, servers and events, made by hand."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from typing import TypeVar
+
+from tuliptrack.brain import Router
+from tuliptrack.interface import (
+    Action,
+    Effect,
+    Event,
+    Fail,
+    FleetChange,
+    KeyScope,
+    ListKind,
+    Outcome,
+    Refuse,
+    Release,
+    Request,
+    RequestClass,
+    Role,
+    Send,
+    Server,
+    ServerState,
+    Settings,
+    Started,
+    Status,
+    Tenant,
+)
+
+MS = 1_000
+S = 1_000_000
+READ, WRITE, BOTH = 0, 1, 2
+A = TypeVar("A", bound=Action)
+
+
+def settings(effect: Effect = Effect.SAFE, scope: KeyScope = KeyScope.ALL, **changes: object) -> Settings:
+    base = Settings(
+        replicas=2,
+        classes=(RequestClass("plain", 1.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S,
+                              token_aim=60_000.0),
+                 RequestClass("dear", 3.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S,
+                              token_aim=60_000.0)),
+        roles=(Role.READ, Role.WRITE, Role.BOTH), memory_tokens=(200_000.0, 200_000.0, 200_000.0),
+        tenants=(Tenant("a", 0.9, 1000.0), Tenant("b", 0.1, 2.0)), over_share_worth=0.1, max_attempts=5,
+        release_within=300 * MS, answer_slack=16 * MS, drain_grace=500 * MS, cold_for=10 * S, cold_from=0.25,
+        fall_multiple=2.5, fall_window=2 * S, may_cancel=True, may_advise_retry=True,
+        report_fields=("in_flight", "memory_share"))
+    return replace(base, **changes)  # type: ignore[arg-type]
+
+
+def server(number: int, kind: int, **changes: object) -> Server:
+    return replace(Server(number, kind), **changes)  # type: ignore[arg-type]
+
+
+def fleet(readers: int = 3, writers: int = 3, mixed: int = 0) -> list[Server]:
+    kinds = [READ] * readers + [WRITE] * writers + [BOTH] * mixed
+    return [server(10 + i, kind) for i, kind in enumerate(kinds)]
+
+
+@dataclass
+class World:
+    """One router with a clock, and what it has been told and has said."""
+
+    router: Router
+    now: int = 100 * S
+    said: list[Action] = field(default_factory=list)
+    tries: dict[int, int] = field(default_factory=dict)
+    ids: int = 0
+
+    def tell(self, *events: Event, after: int = 0) -> list[Action]:
+        self.now += after
+        actions = self.router.handle(self.now, list(events))
+        self.said += actions
+        for action in actions:
+            if isinstance(action, Send):
+                self.tries[action.id] = self.tries.get(action.id, -1) + 1
+        return actions
+
+    def ask(self, after: int = 0, **changes: object) -> tuple[int, list[Action]]:
+        self.ids += 1
+        request = Request(self.ids, 0, 5 * S, prompt_tokens=1000.0, prefix_tokens=800.0, max_tokens=200.0,
+                          session=self.ids, prefix=77)
+        request = replace(request, **changes)  # type: ignore[arg-type]
+        return request.id, self.tell(request, after=after)
+
+    def end(self, request: int, at: int, status: Status, after: int = 50 * MS,
+            **more: object) -> list[Action]:
+        outcome = Outcome(request, self.tries[request], at, status, after)
+        return self.tell(replace(outcome, **more), after=after)  # type: ignore[arg-type]
+
+    def start(self, request: int, at: int, after: int = 50 * MS) -> list[Action]:
+        return self.tell(Started(request, self.tries[request], at, after), after=after)
+
+    def list(self, *servers: Server, kind: ListKind = ListKind.DELTA) -> list[Action]:
+        return self.tell(FleetChange(kind, 2, servers))
+
+
+def world(servers: Iterable[Server] | None = None, seed: int = 1, **changes: object) -> World:
+    made = World(Router(settings(**changes), seed))  # type: ignore[arg-type]
+    made.tell(FleetChange(ListKind.CACHED, 1, tuple(fleet() if servers is None else servers)))
+    return made
+
+
+def only(kind: type[A], actions: list[Action]) -> A:
+    found = [action for action in actions if isinstance(action, kind)]
+    assert len(found) == 1, f"one {kind.__name__} expected in {actions}"
+    return found[0]
+
+
+def none(actions: list[Action], *kinds: type) -> None:
+    assert not [action for action in actions if isinstance(action, kinds)], actions
+
+
+def answers(actions: list[Action]) -> list[Action]:
+    return [action for action in actions if isinstance(action, Refuse | Fail)]
+
+
+__all__ = [
+    "BOTH", "MS", "READ", "S", "WRITE", "Release", "ServerState", "World", "answers", "fleet", "none", "only",
+    "server", "settings", "world",
+]
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,166 @@
+"""The five rules, kept by one node on its own."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import BOTH, MS, READ, WRITE, S, World, answers, fleet, none, only, server, world
+
+from tuliptrack.interface import (
+    Cancel,
+    ClientGone,
+    Effect,
+    Fail,
+    KeyScope,
+    Refuse,
+    Release,
+    Send,
+    ServerState,
+    Status,
+)
+
+
+def to_writer(w: World) -> tuple[int, int]:
+    number, said = w.ask()
+    said = w.end(number, only(Send, said).server, Status.READ)
+    return number, only(Send, said).server
+
+
+def test_rule_1_a_time_out_at_the_deadline_is_answered_with_a_failure_at_once() -> None:
+    w = world()
+    number, said = w.ask(time_left=1 * S)
+    said = w.end(number, only(Send, said).server, Status.TIMEOUT, after=1 * S)
+    only(Fail, said)
+    none(said, Send)
+
+
+def test_rule_1_nothing_follows_the_end_of_a_request() -> None:
+    w = world()
+    number, at = to_writer(w)
+    w.start(number, at)
+    none(w.end(number, at, Status.OK, over=True), Send, Refuse, Fail, Release)
+    none(w.tell(ClientGone(number)), Send, Refuse, Fail)
+    assert not w.router.flights
+
+
+def test_rule_1_attempts_end_at_the_most_allowed_with_one_answer() -> None:
+    w = world(fleet(readers=9, writers=1), max_attempts=3)
+    number, said = w.ask()
+    for _ in range(3):
+        said = w.end(number, only(Send, said).server, Status.CONNECT_FAILED, after=1 * MS)
+    assert len(answers(said)) == 1
+    none(said, Send)
+
+
+@pytest.mark.parametrize("status", [Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED])
+def test_rule_2_an_unsafe_request_that_may_have_run_is_failed(status: Status) -> None:
+    w = world(effect=Effect.UNSAFE)
+    number, at = to_writer(w)
+    said = w.end(number, at, status)
+    none(said, Send, Refuse)
+    only(Fail, said)
+    only(Release, said)
+
+
+@pytest.mark.parametrize("status", [Status.FULL, Status.CONNECT_FAILED])
+def test_rule_2_an_unsafe_request_proved_not_to_have_run_goes_on(status: Status) -> None:
+    w = world(effect=Effect.UNSAFE)
+    number, at = to_writer(w)
+    assert only(Send, w.end(number, at, status)).server != at
+
+
+def test_rule_2_a_reader_has_no_effect_however_it_ends() -> None:
+    w = world(effect=Effect.UNSAFE)
+    number, said = w.ask()
+    only(Send, w.end(number, only(Send, said).server, Status.RESET))
+
+
+def test_rule_2_a_keyed_request_stays_in_the_group_that_drops_its_repeats() -> None:
+    servers = [server(1, READ), *(server(i, WRITE, cell=i // 10) for i in (10, 11, 20, 21))]
+    w = world(servers, effect=Effect.KEYED, scope=KeyScope.CELL)
+    number, at = to_writer(w)
+    again = only(Send, w.end(number, at, Status.RESET)).server
+    assert again // 10 == at // 10 and again != at
+    said = w.end(number, again, Status.RESET)
+    only(Fail, said)
+
+
+def test_rule_2_a_keyed_request_is_not_sent_after_the_window() -> None:
+    w = world(effect=Effect.KEYED)
+    number, at = to_writer(w)
+    said = w.end(number, at, Status.RESET, after=3_100 * MS)
+    none(said, Send)
+    only(Refuse, said)
+
+
+def test_rule_2_keyed_by_zone_can_be_failed_but_not_refused() -> None:
+    servers = [server(1, READ), server(2, WRITE, zone=1), server(3, WRITE, zone=2)]
+    w = world(servers, effect=Effect.KEYED, scope=KeyScope.ZONE)
+    number, at = to_writer(w)
+    said = w.end(number, at, Status.ERROR)
+    none(said, Send, Refuse)
+    only(Fail, said)
+
+
+@pytest.mark.parametrize("state", [ServerState.DRAINING, ServerState.GONE])
+def test_rule_3_nothing_new_goes_to_what_drains_or_is_gone(state: ServerState) -> None:
+    w = world(fleet(readers=2, writers=2))
+    w.list(server(10, READ, state=state), server(12, WRITE, state=state))
+    for prefix in range(1, 20):
+        number, said = w.ask(prefix=prefix, cls=1)
+        for send in [a for a in said if isinstance(a, Send)]:
+            assert send.server == 11
+            assert only(Send, w.end(number, 11, Status.READ, after=5 * MS)).server == 13
+
+
+def test_rule_3_a_drain_is_kept_when_it_is_the_last_server() -> None:
+    w = world([server(1, READ, state=ServerState.DRAINING), server(2, WRITE)])
+    only(Refuse, w.ask()[1])
+
+
+@pytest.mark.parametrize("kind", [READ, WRITE, BOTH])
+def test_rule_4_a_cold_server_gets_its_part_even_from_a_node_that_has_just_started(kind: int) -> None:
+    warm = [server(i, kind) for i in (10, 11, 12)]
+    rest = [server(1, READ), server(2, WRITE)]
+    w = world([*rest, *warm, server(9, kind, started_at=100 * S - 1)])
+    sent = {s: 0 for s in (1, 2, 9, 10, 11, 12)}
+    for session in range(1, 120):
+        number, said = w.ask(prefix=0, session=session, cls=1, after=5 * MS)
+        for send in [a for a in said if isinstance(a, Send)]:
+            sent[send.server] += 1
+            for more in w.end(number, send.server, Status.READ, after=3 * MS):
+                if isinstance(more, Send):
+                    sent[more.server] += 1
+    assert sent[9] >= 1, "a cold server is not starved"
+    assert sent[9] <= 1 + 0.4 * max(sent[i] for i in (10, 11, 12)), sent
+
+
+def test_rule_5_what_is_held_is_let_go_with_a_refusal() -> None:
+    w = world(fleet(readers=1, writers=1))
+    number, at = to_writer(w)
+    said = w.end(number, at, Status.FULL)
+    only(Release, said)
+    only(Refuse, said)
+
+
+def test_rule_5_a_read_that_ends_after_its_client_left_is_let_go() -> None:
+    w = world()
+    number, said = w.ask()
+    at = only(Send, said).server
+    assert only(Cancel, w.tell(ClientGone(number))).attempt == 0
+    said = w.end(number, at, Status.READ, over=True)
+    only(Release, said)
+    none(said, Send, Refuse, Fail)
+    assert not w.router.flights and not w.router.seats[at].open
+
+
+def test_rule_5_a_state_whose_writer_was_called_off_for_a_lost_client_is_let_go() -> None:
+    w = world()
+    number, at = to_writer(w)
+    w.tell(ClientGone(number))
+    only(Release, w.end(number, at, Status.CANCELLED, over=True))
+
+
+def test_rule_5_a_read_state_is_taken_in_the_batch_that_told_of_it() -> None:
+    w = world()
+    number, said = w.ask()
+    assert only(Send, w.end(number, only(Send, said).server, Status.READ)).id == number
