--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -101,6 +101,23 @@
     only(Refuse, said)
 
 
+def test_an_idle_writer_that_would_be_passed_over_does_not_hide_the_jam() -> None:
+    w = world([server(1, READ), server(2, WRITE), server(3, WRITE), server(4, WRITE)])
+    for _ in range(3):
+        number, _ = w.ask(cls=1)
+        w.end(number, 1, Status.READ, after=10 * MS)
+    full = next(s.info.id for s in w.router.seats.values() if s.open)
+    number = next(iter(w.router.seats[full].open))
+    w.end(number, full, Status.FULL, load=(30.0, 0.9), after=1 * MS)
+    assert not w.router.seats[full].open
+    for _ in range(4):
+        number, _ = w.ask(cls=1)
+        w.end(number, 1, Status.READ, after=10 * MS)
+    w.now += 900 * MS
+    assert not w.router.seats[full].open
+    only(Refuse, w.ask()[1])
+
+
 def test_the_writer_with_the_fewest_projected_tokens_is_picked() -> None:
     w = world(fleet(readers=1, writers=3))
     used = []
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -160,11 +160,12 @@
         return over
 
     def _outlook(self, flight: Flight) -> float:
-        """Microseconds to a first token at the request's reader and the best writer, whose queue counts from
-        the start: read states that wait for a writer show late in any reader's report."""
+        """Microseconds to a first token where the request would go. An idle server that it would not get must
+        not hide the jam at those it would; states that wait for a writer show late in any report."""
         reader = self._pick_reader(flight)
-        writers = [self._queue_us(s) for s in self._pool(Role.WRITE, flight)]
-        return (self._queue_us(reader) if reader else 0.0) + min(writers, default=0.0)
+        writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
+        wait = writer.open_work * self._us_per_token(writer) if writer else 0.0
+        return (self._queue_us(reader) if reader else 0.0) + wait
 
     # -- the first stage: a reader
 
