--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -10,6 +10,7 @@
     Cancel,
     FleetChange,
     ListKind,
+    Log,
     Refuse,
     Release,
     Request,
@@ -231,6 +232,20 @@
     assert only(Send, w.ask()[1]).server == home
 
 
+def test_an_exception_is_logged_once_as_it_begins_and_once_as_it_ends() -> None:
+    w = world(fleet(readers=1, writers=1))
+    number, said = w.ask()
+    w.end(number, only(Send, said).server, Status.CONNECT_FAILED)
+    assert [a.text for a in w.said if isinstance(a, Log)] == ["server 10 suspect: begins"]
+    for _ in range(3):
+        number, said = w.ask(after=2 * S)
+        said = w.end(number, only(Send, said).server, Status.READ)
+        w.start(number, 11)
+        w.end(number, 11, Status.OK, over=True)
+    assert [a.text for a in w.said if isinstance(a, Log)] == [
+        "server 10 suspect: begins", "server 10 suspect: ends"]
+
+
 def test_a_lost_state_is_read_again_and_a_full_writer_is_followed_by_the_next() -> None:
     w = world()
     number, said = w.ask()
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -54,6 +54,7 @@
 COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
+CALM_US = 2_000_000  # microseconds without a refusal after which the log says that refusing has ended
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
 SUBSCRIBE_TOKEN = 1 << 62  # its timer's token, above all that are made of request ids
 
@@ -82,6 +83,8 @@
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = {}
         self.peer_pace: dict[Role, float] = {}
+        self.noted: set[str] = set()
+        self.refused_at = -CALM_US
         self.has_depth = "in_flight" in settings.report_fields
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
@@ -143,11 +146,19 @@
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
         refuse = self._outlook(flight) > tier * QUEUE_THRESHOLD * aim
+        self.refused_at = self.now if refuse else self.refused_at
+        self._note("refusing by worth", self.now - self.refused_at < CALM_US)
         if refuse:
             self._finish(flight)
         else:
             self._send(flight)
 
+    def _note(self, what: str, on: bool) -> None:
+        """Tell the operators once when an exception begins and once when it ends."""
+        if on != (what in self.noted):
+            self.noted ^= {what}
+            self.out.append(Log(f"{what}: {'begins' if on else 'ends'}"))
+
     def _over_share(self, request: Request) -> bool:
         """Whether the tenant is past its quota at this node: a bucket filled at its share of a replica."""
         if request.tenant >= len(self.settings.tenants):
@@ -350,6 +361,7 @@
             seat.open_work = max(seat.open_work - flight.work, 0.0)
             wait = TRIAL_US * 2 ** max(seat.fails - 1, 0)
             seat.trial_at = self.now + int(wait * (0.5 + self.random.random()))
+            self._note(f"server {seat.info.id} suspect", self._suspect(seat))
         return waited
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
