--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -13,29 +13,8 @@
 from statistics import median_low
 
 from tuliptrack.interface import (
-    Action,
-    Cancel,
-    ClientGone,
-    Effect,
-    Event,
-    Fail,
-    FleetChange,
-    KeyScope,
-    ListKind,
-    Outcome,
-    Refuse,
-    Release,
-    Request,
-    Role,
-    Send,
-    Server,
-    ServerState,
-    SetTimer,
-    Settings,
-    Started,
-    Status,
-    Subscribe,
-    Timer,
+    Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Log, Outcome, Refuse,
+    Release, Request, Role, Send, Server, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
 from tuliptrack.state import Flight, Seat
 
