--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -17,13 +17,11 @@
     ListKind,
     Outcome,
     Refuse,
-    Release,
     Request,
     RequestClass,
     Role,
     Send,
     Server,
-    ServerState,
     Settings,
     Started,
     Status,
@@ -116,9 +114,3 @@
 
 def answers(actions: list[Action]) -> list[Action]:
     return [action for action in actions if isinstance(action, Refuse | Fail)]
-
-
-__all__ = [
-    "BOTH", "MS", "READ", "S", "WRITE", "Release", "ServerState", "World", "answers", "fleet", "none", "only",
-    "server", "settings", "world",
-]
--- a/tests/test_stages.py
+++ b/tests/test_stages.py
@@ -133,7 +133,7 @@
 def test_a_hint_replaces_half_of_the_most_tokens() -> None:
     w = world(fleet(readers=1, writers=2))
     for hint in (3 * 60_000, None):
-        number, said = w.ask(hint=hint, max_tokens=2000.0)
+        number, _ = w.ask(hint=hint, max_tokens=2000.0)
         w.end(number, 10, Status.READ, after=5 * MS)
     loads = {s.info.id: s.tokens for s in w.router.seats.values()}
     assert sorted((loads[11], loads[12])) == [1003.0, 2000.0]
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -108,9 +108,8 @@
                 self.seats[info.id] = Seat(info, role)
             elif info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                seat.info, seat.fails, seat.pace, seat.latency, seat.memory = info, 0, 0.0, 0.0, 0.0
-            else:
-                seat.info = info
+                seat.fails, seat.pace, seat.latency, seat.memory = 0, 0.0, 0.0, 0.0
+            self.seats[info.id].info = info
 
     # -- arrival: worth and refusal
 
@@ -124,13 +123,14 @@
         self.flights[request.id] = flight
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
-        refuse = self._outlook(flight) > tier * QUEUE_THRESHOLD * aim
+        reader = self._pick_reader(flight)
+        refuse = self._outlook(flight, reader) > tier * QUEUE_THRESHOLD * aim
         self.refused_at = self.now if refuse else self.refused_at
         self._note("refusing by worth", self.now - self.refused_at < CALM_US)
         if refuse:
             self._finish(flight)
         else:
-            self._send(flight)
+            self._send(flight, reader)
 
     def _note(self, what: str, on: bool) -> None:
         """Tell the operators once when an exception begins and once when it ends."""
@@ -149,10 +149,9 @@
         self.quota[request.tenant] = (saved if over or request.repeat else saved - 1, self.now)
         return over
 
-    def _outlook(self, flight: Flight) -> float:
+    def _outlook(self, flight: Flight, reader: Seat | None) -> float:
         """Microseconds to a first token where the request would go. An idle server that it would not get must
         not hide the jam at those it would; states that wait for a writer show late in any report."""
-        reader = self._pick_reader(flight)
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
         wait = writer.open_work * self._us_per_token(writer) if writer else 0.0
         return (self._queue_us(reader) if reader else 0.0) + wait
@@ -190,17 +189,20 @@
 
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
-        oldest = next(iter(seat.open.values()), None)
+        oldest = self._oldest(seat)
         seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else 0.0
         return max(seen, (self.now - seat.busy_from) / oldest.work) if oldest else seen
 
+    def _oldest(self, seat: Seat) -> Flight | None:
+        return next(iter(seat.open.values()), None)
+
     def _fresh(self, seat: Seat) -> float:
         """How much a report still counts: a server that gets no sends sends no new ones."""
         return max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
 
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
-        oldest = next(iter(seat.open.values()), None)
+        oldest = self._oldest(seat)
         return max(seat.latency, self.now - oldest.sent if oldest else 0, 1)
 
     # -- the second stage: a writer
@@ -210,13 +212,11 @@
         if not pool:
             return None
         bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
-        pool = [s for s in pool if s.memory <= bound]
-        least = min(self._load(s) for s in pool)
-        mean = sum(self._load(s) for s in pool) / len(pool)
-        near = [s for s in pool if self._load(s) <= least + NEAR_TIE * mean]
-        held = flight.held
-        cell = held.info.cell if held else None
-        return min(near, key=lambda s: (s.info.cell != cell, self._load(s), s.info.id))
+        loads = {s.info.id: self._load(s) for s in pool if s.memory <= bound}
+        most = min(loads.values()) + NEAR_TIE * sum(loads.values()) / len(loads)
+        near = [s for s in pool if loads.get(s.info.id, math.inf) <= most]
+        cell = flight.held.info.cell if flight.held else None
+        return min(near, key=lambda s: (s.info.cell != cell, loads[s.info.id], s.info.id))
 
     def _load(self, seat: Seat) -> float:
         memory = self.settings.memory_tokens
@@ -236,7 +236,7 @@
         return [s for s in listed if self._usable(s)] or listed
 
     def _pace(self, seat: Seat) -> float:
-        oldest = next(iter(seat.open.values()), None)
+        oldest = self._oldest(seat)
         return max(seat.pace, (self.now - oldest.sent) / oldest.aim if oldest else 0.0)
 
     def _suspect(self, seat: Seat) -> bool:
@@ -280,18 +280,17 @@
 
     # -- attempts
 
-    def _send(self, flight: Flight) -> None:
+    def _send(self, flight: Flight, seat: Seat | None) -> None:
         """The one place where attempts leave: never a second one out, none too late, none too many."""
-        seat = self._pick_writer(flight) if flight.held else self._pick_reader(flight)
         if seat is None or flight.attempts >= self.settings.max_attempts or self.now >= flight.due:
             self._finish(flight)
             return
+        request = flight.request
         if not seat.open:
             seat.busy_from = self.now
         flight.attempts += 1
         flight.at, flight.sent = seat, self.now
-        seat.open[flight.request.id] = flight
-        request = flight.request
+        seat.open[request.id] = flight
         shared = request.prefix_tokens if request.prefix and not flight.held else 0.0
         flight.work = max(request.prompt_tokens - shared, 1.0)
         seat.open_work += flight.work
@@ -299,7 +298,7 @@
         self._recent(seat)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
-        self.out.append(Send(flight.request.id, seat.info.id))
+        self.out.append(Send(request.id, seat.info.id))
         self._watch(flight)
 
     def _watch(self, flight: Flight) -> None:
@@ -384,7 +383,7 @@
         if event.status is Status.MOOT:
             self._finish(flight)
         else:
-            self._send(flight)
+            self._send(flight, self._pick_writer(flight) if flight.held else self._pick_reader(flight))
 
     def _report(self, seat: Seat | None, load: tuple[float, ...]) -> None:
         if seat is None or not load:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -36,7 +36,7 @@
     streams: int = 0
     """This node's answers that have started there."""
     failed_at: int = -1
-    """When the last failure came; a success sets it back to -1."""
+    """When the last failure came; attempts sent before it count as part of it."""
     fails: int = 0
     trial_at: int = 0
     """When the next trial send may go to a server that is suspect."""
