--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -260,7 +260,9 @@
         warm = [self._recent(s) for s in self.seats.values() if s.role is seat.role and s is not seat]
         ramp = self.settings.cold_from + (1 - self.settings.cold_from) * age / self.settings.cold_for
         mean = sum(warm) / len(warm) if warm else 0.0
-        return self._recent(seat) < max(1.0, COLD_MARGIN * ramp * mean)
+        recent, allowed = self._recent(seat), COLD_MARGIN * ramp * mean
+        # A share under one send is kept by chance, or hundreds of nodes would each send one at the same time.
+        return recent < allowed if allowed >= 1 else not recent and self.random.random() < COLD_MARGIN * ramp
 
     def _recent(self, seat: Seat) -> int:
         while seat.sends and seat.sends[0] < self.now - self.settings.fall_window:
