--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -166,7 +166,7 @@
         homes = sorted(pool, key=lambda s: -self._rank(key, s))[:SPILL_HOMES]
         if self._queue_us(homes[0]) <= QUEUE_THRESHOLD * flight.aim:
             return homes[0]
-        return min(homes, key=lambda s: ((self._depth(s) + 1) * self._latency(s), s.info.id))
+        return min(homes, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
 
     def _rank(self, key: int, seat: Seat) -> float:
         """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
@@ -215,8 +215,19 @@
         loads = {s.info.id: self._load(s) for s in pool if s.memory <= bound}
         most = min(loads.values()) + NEAR_TIE * sum(loads.values()) / len(loads)
         near = [s for s in pool if loads.get(s.info.id, math.inf) <= most]
-        cell = flight.held.info.cell if flight.held else None
-        return min(near, key=lambda s: (s.info.cell != cell, loads[s.info.id], s.info.id))
+        cell = flight.held.info.cell if flight.held and self.random.random() < self._near_share(flight) else None
+        # Nodes that know equally little must not all choose one server: ties go by the node's own chance.
+        return min(near, key=lambda s: (s.info.cell != cell, loads[s.info.id], self.random.random()))
+
+    def _near_share(self, flight: Flight) -> float:
+        """The part of a cell's reads that its own writers can take, by the list: the rest would jam them."""
+        assert flight.held is not None
+        cell, of = flight.held.info.cell, {}
+        for role in (Role.READ, Role.WRITE):
+            seats = [s for s in self._seats(role) if s.role is role] or self._seats(role)
+            total = sum(s.info.weight for s in seats)
+            of[role] = sum(s.info.weight for s in seats if s.info.cell == cell) / max(total, 1e-6)
+        return of[Role.WRITE] / of[Role.READ] if of[Role.READ] else 1.0
 
     def _load(self, seat: Seat) -> float:
         memory = self.settings.memory_tokens
