--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from random import Random
 from statistics import median_low
 
@@ -16,17 +17,30 @@
     Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Log, Outcome, Refuse,
     Release, Request, Role, Send, Server, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
-from tuliptrack.state import Flight, Seat
+from tuliptrack.state import Blame, Flight, Kind, Seat
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
-SPILL_HOMES = 3  # readers in a prefix's hash order to spill among; more would thin what each keeps
+SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, past the homes that its share asks for
+HOMES_PER_SHARE = 1.5  # homes for each reader's even share of the traffic that one prefix brings
+HEAT_SAMPLE = 40  # last requests of this node by which a prefix's share is told
+ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: from there on it could only be late
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
 SLOW_RATIO = 8.0  # times the peers' pace at which a server is suspect: past what long, new prompts do to one
 SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
-PATIENCE = 0.4  # share of the aim after which an attempt at a suspect server is taken elsewhere
-TRIAL_US = 700_000  # microseconds between trial sends to a suspect server, doubled at each failure, jittered
+SILENCE_FLOOR = 0.35  # share of the aim before which no attempt is given up: two tries still fit into the aim
+SILENCE_RATIO = 6.0  # times the typical pace of answers at which an attempt counts as silent
+SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
+LOST_MOST = 0.7  # share of silent attempts past which they prove a jam, not lost answers: then all are waited for
+EARLY = 0.08  # share of the aim by which a server without room has said `full`; later, it holds back one tenant
+FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
+TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
+TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
+TYPICAL_WEIGHT = 0.6  # of the typical time to a first token: at 0.83 of the aim plain worth is refused
+TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
+TRIAL_GAPS = 8  # or so many requests' time at this node, whichever is longer: each trial is one request's delay
+TRIAL_MOST_US = 10_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
 TRIAL_DOUBLINGS = 3  # so the longest wait is about 6 s: under the time that a crashed server takes to return
 NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
@@ -39,7 +53,8 @@
 
 _MASK = (1 << 64) - 1
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
-_BROKEN = (Status.CONNECT_FAILED, Status.RESET, Status.ERROR)  # what speaks against the server's health
+_BROKEN = (Status.CONNECT_FAILED, Status.RESET)  # what speaks against the whole server
+_ALL = -1  # the key of blame for a whole server; classes have their number, classes of tenants those above
 
 
 def _mix(value: int) -> int:
@@ -61,7 +76,13 @@
         self.seats: dict[int, Seat] = {}
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = {}
-        self.peer_pace: dict[Role, float] = {}
+        self.kinds = {role: Kind(deque(maxlen=TYPICAL_OF)) for role in Role}
+        self.gap = 0.0
+        self.arrived_at = 0
+        self.ready: dict[Role, list[Seat]] = {}
+        self.orders: dict[int, list[Seat]] = {}
+        self.heat: deque[int] = deque()
+        self.heat_of: dict[int, int] = {}
         self.noted: set[str] = set()
         self.refused_at = -CALM_US
         self.has_depth = "in_flight" in settings.report_fields
@@ -71,7 +92,6 @@
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order; return the actions, in order."""
         self.now, self.out = now, []
-        self.peer_pace.clear()
         for event in events:
             match event:
                 case Request():
@@ -94,6 +114,8 @@
         if change.kind is ListKind.FAILED:
             self.out.append(SetTimer(int(SUBSCRIBE_US * (1 + self.random.random())), SUBSCRIBE_TOKEN))
             return
+        self.ready.clear()
+        self.orders.clear()
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
         if change.kind is not ListKind.DELTA:
@@ -108,7 +130,7 @@
                 self.seats[info.id] = Seat(info, role)
             elif info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                seat.fails, seat.pace, seat.latency, seat.memory = 0, 0.0, 0.0, 0.0
+                seat.blamed, seat.pace, seat.latency, seat.memory = {}, 0.0, 0.0, 0.0
             self.seats[info.id].info = info
 
     # -- arrival: worth and refusal
@@ -123,6 +145,10 @@
         self.flights[request.id] = flight
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
+        self._heat(request.prefix)
+        if self.arrived_at:
+            self.gap += SMOOTHING * (self.now - self.arrived_at - self.gap)
+        self.arrived_at = self.now
         reader = self._pick_reader(flight)
         refuse = self._outlook(flight, reader) > tier * QUEUE_THRESHOLD * aim
         self.refused_at = self.now if refuse else self.refused_at
@@ -154,19 +180,52 @@
         not hide the jam at those it would; states that wait for a writer show late in any report."""
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
         wait = writer.open_work * self._us_per_token(writer) if writer else 0.0
-        return (self._queue_us(reader) if reader else 0.0) + wait
+        roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
+        # A node with a request a second has hardly any own work open: what its last attempts took stands in.
+        typical = sum(self._typical(self.kinds[role]) for role in roles) * flight.aim
+        return max((self._queue_us(reader) if reader else 0.0) + wait, typical)
+
+    def _typical(self, kind: Kind) -> float:
+        fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
+        return fresh * (TYPICAL_WEIGHT * kind.typical + kind.full)
 
     # -- the first stage: a reader
 
     def _pick_reader(self, flight: Flight) -> Seat | None:
-        pool = self._pool(Role.READ, flight)
-        if not pool:
+        request = flight.request
+        order = self._order(request.prefix or request.session)
+        count = self._home_count(request.prefix, len(order))
+        seats = self._pool(order, flight, count + SPILL_HOMES - 1)
+        if not seats:
             return None
-        key = flight.request.prefix or flight.request.session
-        homes = sorted(pool, key=lambda s: -self._rank(key, s))[:SPILL_HOMES]
-        if self._queue_us(homes[0]) <= QUEUE_THRESHOLD * flight.aim:
-            return homes[0]
-        return min(homes, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
+        # A session stays at one of its prefix's homes, whichever node it comes through.
+        home = max(seats[:count], key=lambda s: self._rank(request.session, s)) if count > 1 else seats[0]
+        if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
+            return home
+        return min(seats, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
+
+    def _order(self, key: int) -> list[Seat]:
+        """The ready readers in this key's hash order, kept until the list changes: ranking is dear."""
+        if key not in self.orders:
+            if len(self.orders) >= ORDERS_KEPT:
+                self.orders.clear()
+            self.orders[key] = sorted(self._seats(Role.READ), key=lambda s: -self._rank(key, s))
+        return self.orders[key]
+
+    def _home_count(self, prefix: int, readers: int) -> int:
+        """One home, and more for a prefix whose share of the traffic is more than one reader's."""
+        if not prefix:
+            return 1
+        return 1 + int(HOMES_PER_SHARE * readers * (self.heat_of.get(prefix, 1) - 1) / HEAT_SAMPLE)
+
+    def _heat(self, prefix: int) -> None:
+        self.heat.append(prefix)
+        self.heat_of[prefix] = self.heat_of.get(prefix, 0) + 1
+        if len(self.heat) > HEAT_SAMPLE:
+            old = self.heat.popleft()
+            self.heat_of[old] -= 1
+            if not self.heat_of[old]:
+                del self.heat_of[old]
 
     def _rank(self, key: int, seat: Seat) -> float:
         """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
@@ -190,7 +249,7 @@
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
         oldest = self._oldest(seat)
-        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else 0.0
+        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else self.kinds[seat.role].us_per_token
         return max(seen, (self.now - seat.busy_from) / oldest.work) if oldest else seen
 
     def _oldest(self, seat: Seat) -> Flight | None:
@@ -203,12 +262,13 @@
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
         oldest = self._oldest(seat)
-        return max(seat.latency, self.now - oldest.sent if oldest else 0, 1)
+        known = seat.latency or self.kinds[seat.role].latency
+        return max(known, self.now - oldest.sent if oldest else 0, 1)
 
     # -- the second stage: a writer
 
     def _pick_writer(self, flight: Flight) -> Seat | None:
-        pool = self._pool(Role.WRITE, flight)
+        pool = self._pool(self._seats(Role.WRITE), flight, len(self.seats))
         if not pool:
             return None
         bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
@@ -237,31 +297,61 @@
     # -- health and guards, one notion for both stages
 
     def _seats(self, role: Role) -> list[Seat]:
-        return [s for s in self.seats.values()
-                if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
-
-    def _pool(self, role: Role, flight: Flight) -> list[Seat]:
-        """Where this request may go: suspects only where nothing else is left."""
-        listed = [s for s in self._seats(role) if s.info.id not in flight.tried
-                  and self._in_group(flight, s) and self._within_cold_budget(s)]
-        return [s for s in listed if self._usable(s)] or listed
-
-    def _pace(self, seat: Seat) -> float:
-        oldest = self._oldest(seat)
-        return max(seat.pace, (self.now - oldest.sent) / oldest.aim if oldest else 0.0)
-
-    def _suspect(self, seat: Seat) -> bool:
-        """Failed lately, or far slower than its peers; where all are slow together, none is suspect."""
-        if seat.fails:
-            return True
-        if seat.role not in self.peer_pace:
-            self.peer_pace[seat.role] = median_low(
-                [self._pace(s) for s in self.seats.values()
-                 if s.role is seat.role and s.info.state is ServerState.READY] or [0.0])
-        return self._pace(seat) > max(SLOW_FLOOR, SLOW_RATIO * self.peer_pace[seat.role])
-
-    def _usable(self, seat: Seat) -> bool:
-        return not self._suspect(seat) or (self.now >= seat.trial_at and not seat.open)
+        if role not in self.ready:
+            self.ready[role] = [s for s in self.seats.values()
+                                if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
+        return self.ready[role]
+
+    def _pool(self, seats: list[Seat], flight: Flight, most: int) -> list[Seat]:
+        """The first of these where this request may go: suspects only where nothing else is left."""
+        fit: list[Seat] = []
+        poor: list[Seat] = []
+        for seat in seats:
+            if (seat.info.id not in flight.tried and self._in_group(flight, seat)
+                    and self._within_cold_budget(seat)):
+                (fit if self._usable(seat, flight) else poor).append(seat)
+                if len(fit) == most:
+                    break
+        return fit or poor[:most]
+
+    def _keys(self, flight: Flight) -> tuple[int, int, int]:
+        """What a failure can be laid to: the server, its service of this class, or of this tenant's class."""
+        cls, count = flight.request.cls, len(self.settings.classes)
+        return _ALL, cls, count * (flight.request.tenant + 1) + cls
+
+    def _usable(self, seat: Seat, flight: Flight) -> bool:
+        """Not blamed for this kind of request, or due for a trial."""
+        return not seat.blamed or all(
+            self.now >= seat.blamed[key].until for key in self._keys(flight) if key in seat.blamed)
+
+    def _trial_wait(self, fails: int) -> int:
+        wait = max(TRIAL_US * 2 ** min(fails - 1, TRIAL_DOUBLINGS), TRIAL_GAPS * self.gap)
+        return int(min(wait, TRIAL_MOST_US) * (0.5 + self.random.random()))
+
+    def _blame(self, seat: Seat, key: int, sent: int) -> None:
+        known = seat.blamed.get(key)
+        if known and sent < known.at:
+            return  # Many attempts break at once when a process dies: they count as one failure.
+        fails = known.fails + 1 if known else 1
+        seat.blamed[key] = Blame(fails, self.now, self.now + self._trial_wait(fails))
+        self._note(f"server {seat.info.id} suspect", True)
+
+    def _clear(self, seat: Seat, flight: Flight) -> None:
+        """An answer clears its kind of blame; slowness far past the role's typical pace is blame, too."""
+        for key in self._keys(flight) if seat.blamed else ():
+            seat.blamed.pop(key, None)
+        if seat.pace > max(SLOW_FLOOR, SLOW_RATIO * self.kinds[seat.role].typical):
+            self._blame(seat, _ALL, self.now)
+        elif not seat.blamed:
+            self._note(f"server {seat.info.id} suspect", False)
+
+    def _patience(self, flight: Flight, seat: Seat) -> int:
+        """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
+        time. None where most are silent, which is a jam: retries would feed it."""
+        kind = self.kinds[seat.role]
+        left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
+        wait = max(SILENCE_FLOOR, SILENCE_RATIO * kind.typical) * flight.aim * SILENCE_STEP ** flight.silences
+        return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
 
     def _within_cold_budget(self, seat: Seat) -> bool:
         """Keeps a cold server's sends, in any span of the rule, to its ramped part of what warm peers get."""
@@ -311,28 +401,14 @@
         self._recent(seat)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
-        self.out.append(Send(request.id, seat.info.id))
-        self._watch(flight)
-
-    def _watch(self, flight: Flight) -> None:
-        delay = max(int(PATIENCE * flight.aim), self.settings.tick)
-        if self.now + delay < flight.due:
-            self.out.append(SetTimer(delay, flight.request.id * 256 + flight.attempts))
+        for key in self._keys(flight) if seat.blamed else ():
+            if key in seat.blamed:  # This is its trial: the next waits anew.
+                seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
+        self.out.append(Send(request.id, seat.info.id, self._patience(flight, seat)))
 
     def _timer(self, token: int) -> None:
         if token == SUBSCRIBE_TOKEN:
             self.out.append(Subscribe(True))
-            return
-        flight = self.flights.get(token // 256)
-        if not flight or not flight.at or flight.started or flight.ended or flight.attempts != token % 256:
-            return
-        seat = flight.at
-        elsewhere = any(s is not seat and not self._suspect(s) for s in self._seats(
-            Role.WRITE if flight.held else Role.READ))
-        if self.settings.may_cancel and self._suspect(seat) and elsewhere:
-            self.out.append(Cancel(flight.request.id, flight.attempts - 1))
-        else:
-            self._watch(flight)
 
     def _started(self, event: Started) -> None:
         flight = self.flights.get(event.id)
@@ -345,24 +421,46 @@
             self._good(seat, event.latency, flight)
 
     def _off(self, seat: Seat, flight: Flight) -> bool:
-        """Take an attempt off those that wait there. Trials count from the last end: a slow server's own
-        trial would else be due again as it ends, and trials would be its ordinary traffic."""
+        """Take an attempt off those that wait there."""
         waited = seat.open.pop(flight.request.id, None) is not None
         if waited:
             seat.open_work = max(seat.open_work - flight.work, 0.0)
-            wait = TRIAL_US * 2 ** max(seat.fails - 1, 0)
-            seat.trial_at = self.now + int(wait * (0.5 + self.random.random()))
-            self._note(f"server {seat.info.id} suspect", self._suspect(seat))
         return waited
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
-        seat.fails = 0
+        kind = self.kinds[seat.role]
         seat.busy_us += SMOOTHING * (self.now - seat.busy_from - seat.busy_us)
         seat.busy_tokens += SMOOTHING * (flight.work - seat.busy_tokens)
+        kind.us_per_token += SMOOTHING * ((self.now - seat.busy_from) / flight.work - kind.us_per_token)
         seat.busy_from = self.now
         seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
+        kind.paces.append(latency / flight.aim)
+        kind.typical = median_low(kind.paces)
+        self._ended(kind, 0.0, 0.0)
         if seat.role is not Role.WRITE and flight.held is None:
             seat.latency += (SMOOTHING if seat.latency else 1.0) * (latency - seat.latency)
+            kind.latency += (SMOOTHING if kind.latency else 1.0) * (latency - kind.latency)
+        self._clear(seat, flight)
+
+    def _ended(self, kind: Kind, lost: float, full: float) -> None:
+        kind.lost += SMOOTHING / 2 * (lost - kind.lost)
+        kind.full += SMOOTHING / 2 * (full - kind.full)
+        kind.told_at = self.now
+
+    def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
+        """What a failed attempt says, and of what: a broken connection of the server, an error or silence of
+        its service of one class, a slow `full` of one tenant's; a quick one tells lack of room."""
+        everything, cls, pair = self._keys(flight)
+        early = event.latency < EARLY * flight.aim
+        if event.status in _BROKEN:
+            self._blame(seat, everything, flight.sent)
+        elif event.status is Status.ERROR or (event.status is Status.TIMEOUT and self.now < flight.due):
+            flight.silences += 1
+            self._ended(self.kinds[seat.role], 1.0, 0.0)
+            self._blame(seat, cls, flight.sent)
+        elif event.status is Status.FULL and not event.state_lost:
+            self._ended(self.kinds[seat.role], 0.0, float(early))
+            self._blame(seat, everything if early else pair, flight.sent)
 
     def _outcome(self, event: Outcome) -> None:
         flight = self.flights.get(event.id)
@@ -372,11 +470,10 @@
                 self.out.append(Release(event.id))
             return
         seat = flight.at
-        if event.status in _BROKEN and flight.sent >= seat.failed_at:
-            # Many attempts break at once when a process dies: they count as one failure.
-            seat.failed_at, seat.fails = self.now, min(seat.fails + 1, TRIAL_DOUBLINGS + 1)
         if not self._off(seat, flight):
             seat.streams -= 1
+        elif event.status not in (Status.READ, Status.OK):
+            self._bad(seat, event, flight)
         if seat.role is not Role.READ:
             seat.tokens = max(seat.tokens - flight.cost, 0.0)
             if event.status not in _PROVEN and flight.effect is None:
@@ -384,7 +481,7 @@
         flight.at = None
         if event.status is Status.READ:
             self._good(seat, event.latency, flight)
-            flight.held = seat
+            flight.held, flight.silences = seat, 0
         if event.state_lost:
             flight.held = None
         if event.over or flight.ended:
@@ -393,7 +490,8 @@
             return
         # What follows an attempt that has not answered: the next stage, another server, or the end.
         flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
-        if event.status is Status.MOOT:
+        jam = event.status is Status.FULL and self.kinds[seat.role].full > FULL_MOST
+        if event.status is Status.MOOT or jam:
             self._finish(flight)
         else:
             self._send(flight, self._pick_writer(flight) if flight.held else self._pick_reader(flight))
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -8,6 +8,34 @@
 from tuliptrack.interface import Request, RequestClass, Role, Server
 
 
+@dataclass(slots=True)
+class Blame:
+    """Failures of one kind at one server."""
+
+    fails: int
+    at: int
+    """When the last one came; attempts sent before it count as part of it."""
+    until: int
+    """When the next trial send may go there."""
+
+
+@dataclass(slots=True)
+class Kind:
+    """What this node's last attempts at all servers of one role have shown."""
+
+    paces: deque[float]
+    """Times to the end of a read or to a first token, as shares of the aim; of answers only."""
+    typical: float = 0.0
+    """Their median."""
+    us_per_token: float = 0.0
+    latency: float = 0.0
+    lost: float = 0.0
+    """Smoothed share of attempts that ended by their own time-out."""
+    full: float = 0.0
+    """Smoothed share of attempts turned away at once for lack of room."""
+    told_at: int = 0
+
+
 @dataclass(slots=True)
 class Seat:
     """What one node knows of one server: its list entry, its last report and its own traffic there."""
@@ -35,11 +63,8 @@
     """Projected tokens of this node's own streams there."""
     streams: int = 0
     """This node's answers that have started there."""
-    failed_at: int = -1
-    """When the last failure came; attempts sent before it count as part of it."""
-    fails: int = 0
-    trial_at: int = 0
-    """When the next trial send may go to a server that is suspect."""
+    blamed: dict[int, Blame] = field(default_factory=dict)
+    """What has failed there lately: the whole server, one class, or one class of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
     """This node's attempts there that have neither ended nor started to answer, oldest first."""
     sends: deque[int] = field(default_factory=deque)
@@ -69,5 +94,7 @@
     """A final answer was given, or the client has left; only outcomes are awaited."""
     effect: tuple[int, Server] | None = None
     """When and where the first attempt was sent that may have run."""
+    silences: int = 0
+    """Attempts of this stage that ended by their own time-out."""
     tried: list[int] = field(default_factory=list)
     """Servers that turned this request away or failed it."""
