--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -21,8 +21,8 @@
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, past the homes that its share asks for
-HOMES_PER_SHARE = 1.5  # homes for each reader's even share of the traffic that one prefix brings
-HEAT_SAMPLE = 40  # last requests of this node by which a prefix's share is told
+HOME_SHARE = 0.25  # share of the readers that are a prefix's homes, so that a hot one doesn't jam a large fleet's
+CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
 ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: from there on it could only be late
@@ -81,8 +81,7 @@
         self.arrived_at = 0
         self.ready: dict[Role, list[Seat]] = {}
         self.orders: dict[int, list[Seat]] = {}
-        self.heat: deque[int] = deque()
-        self.heat_of: dict[int, int] = {}
+        self.sizes: dict[Role, float] = {}
         self.noted: set[str] = set()
         self.refused_at = -CALM_US
         self.has_depth = "in_flight" in settings.report_fields
@@ -115,6 +114,7 @@
             self.out.append(SetTimer(int(SUBSCRIBE_US * (1 + self.random.random())), SUBSCRIBE_TOKEN))
             return
         self.ready.clear()
+        self.sizes.clear()
         self.orders.clear()
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
@@ -145,7 +145,6 @@
         self.flights[request.id] = flight
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
-        self._heat(request.prefix)
         if self.arrived_at:
             self.gap += SMOOTHING * (self.now - self.arrived_at - self.gap)
         self.arrived_at = self.now
@@ -194,7 +193,7 @@
     def _pick_reader(self, flight: Flight) -> Seat | None:
         request = flight.request
         order = self._order(request.prefix or request.session)
-        count = self._home_count(request.prefix, len(order))
+        count = max(1, int(HOME_SHARE * len(order))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
@@ -212,21 +211,6 @@
             self.orders[key] = sorted(self._seats(Role.READ), key=lambda s: -self._rank(key, s))
         return self.orders[key]
 
-    def _home_count(self, prefix: int, readers: int) -> int:
-        """One home, and more for a prefix whose share of the traffic is more than one reader's."""
-        if not prefix:
-            return 1
-        return 1 + int(HOMES_PER_SHARE * readers * (self.heat_of.get(prefix, 1) - 1) / HEAT_SAMPLE)
-
-    def _heat(self, prefix: int) -> None:
-        self.heat.append(prefix)
-        self.heat_of[prefix] = self.heat_of.get(prefix, 0) + 1
-        if len(self.heat) > HEAT_SAMPLE:
-            old = self.heat.popleft()
-            self.heat_of[old] -= 1
-            if not self.heat_of[old]:
-                del self.heat_of[old]
-
     def _rank(self, key: int, seat: Seat) -> float:
         """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
         share = (_mix(key ^ _mix(seat.info.id)) + 1) / (_MASK + 2)
@@ -290,9 +274,21 @@
         return of[Role.WRITE] / of[Role.READ] if of[Role.READ] else 1.0
 
     def _load(self, seat: Seat) -> float:
-        memory = self.settings.memory_tokens
-        room = memory[seat.info.kind] if seat.info.kind < len(memory) else 1.0
-        return seat.tokens / (room * max(seat.info.weight, 1e-6))
+        """Projected own tokens there, and what all of its role get from this node, each by the list's sizes:
+        a mixed server that has reads of its own takes a state only where writers are as full."""
+        return seat.tokens / max(seat.info.weight, 1e-6) + self._role_load(seat.role)
+
+    def _role_load(self, role: Role) -> float:
+        if role not in self.sizes:
+            self.sizes[role] = sum(s.info.weight for s in self._seats(role) if s.role is role)
+        kind = self.kinds[role]
+        return kind.carried * math.exp((kind.carried_at - self.now) / CARRIED_US) / max(self.sizes[role], 1e-6)
+
+    def _carry(self, role: Role, tokens: float) -> None:
+        kind = self.kinds[role]
+        kind.carried *= math.exp((kind.carried_at - self.now) / CARRIED_US)
+        kind.carried += tokens
+        kind.carried_at = self.now
 
     # -- health and guards, one notion for both stages
 
@@ -351,6 +347,7 @@
         kind = self.kinds[seat.role]
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         wait = max(SILENCE_FLOOR, SILENCE_RATIO * kind.typical) * flight.aim * SILENCE_STEP ** flight.silences
+        wait /= max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
 
     def _within_cold_budget(self, seat: Seat) -> bool:
@@ -401,6 +398,7 @@
         self._recent(seat)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
+            self._carry(seat.role, flight.cost)
         for key in self._keys(flight) if seat.blamed else ():
             if key in seat.blamed:  # This is its trial: the next waits anew.
                 seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
@@ -443,8 +441,8 @@
         self._clear(seat, flight)
 
     def _ended(self, kind: Kind, lost: float, full: float) -> None:
-        kind.lost += SMOOTHING / 2 * (lost - kind.lost)
-        kind.full += SMOOTHING / 2 * (full - kind.full)
+        kind.lost += SMOOTHING * (lost - kind.lost)
+        kind.full += SMOOTHING * (full - kind.full)
         kind.told_at = self.now
 
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -34,6 +34,9 @@
     full: float = 0.0
     """Smoothed share of attempts turned away at once for lack of room."""
     told_at: int = 0
+    carried: float = 0.0
+    """Projected tokens given to these servers lately, fading from `carried_at` on."""
+    carried_at: int = 0
 
 
 @dataclass(slots=True)
