--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -37,7 +37,7 @@
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
-TYPICAL_WEIGHT = 0.6  # of the typical time to a first token: at 0.83 of the aim plain worth is refused
+TYPICAL_WEIGHT = 0.7  # of the typical time to a first token: at 0.7 of the aim plain worth is refused
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
 TRIAL_GAPS = 8  # or so many requests' time at this node, whichever is longer: each trial is one request's delay
 TRIAL_MOST_US = 10_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
@@ -46,6 +46,7 @@
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
 COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
+QUOTA_LEAST = 4.0  # requests it may save up at least: one node of hundreds gets them by chance, not at a rate
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
 CALM_US = 2_000_000  # microseconds without a refusal after which the log says that refusing has ended
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
@@ -168,8 +169,9 @@
         if request.tenant >= len(self.settings.tenants):
             return False
         rate = self.settings.tenants[request.tenant].quota_per_s / self.settings.replicas
-        saved, since = self.quota.get(request.tenant, (rate * QUOTA_BURST_S, self.now))
-        saved = min(saved + rate * (self.now - since) / 1e6, rate * QUOTA_BURST_S)
+        most = max(rate * QUOTA_BURST_S, QUOTA_LEAST)
+        saved, since = self.quota.get(request.tenant, (most, self.now))
+        saved = min(saved + rate * (self.now - since) / 1e6, most)
         over = saved < 1
         self.quota[request.tenant] = (saved if over or request.repeat else saved - 1, self.now)
         return over
@@ -181,12 +183,13 @@
         wait = writer.open_work * self._us_per_token(writer) if writer else 0.0
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         # A node with a request a second has hardly any own work open: what its last attempts took stands in.
-        typical = sum(self._typical(self.kinds[role]) for role in roles) * flight.aim
+        typical = sum(self._typical_us(self.kinds[role], flight) for role in roles)
         return max((self._queue_us(reader) if reader else 0.0) + wait, typical)
 
-    def _typical(self, kind: Kind) -> float:
+    def _typical_us(self, kind: Kind, flight: Flight) -> float:
+        """What a role's last reports and answers say of the time there; a quick `full` counts as one aim."""
         fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
-        return fresh * (TYPICAL_WEIGHT * kind.typical + kind.full)
+        return fresh * (TYPICAL_WEIGHT * (kind.waiting + kind.work) * kind.us_per_token + kind.full * flight.aim)
 
     # -- the first stage: a reader
 
@@ -228,7 +231,8 @@
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
         others = self._depth(seat) - len(seat.open) if seat.role is Role.BOTH else 0.0
         others *= seat.busy_tokens / self.settings.replicas
-        return max(seat.open_work, others) * self._us_per_token(seat)
+        told = seat.waiting * self._fresh(seat)
+        return max(seat.open_work, others, told) * self._us_per_token(seat)
 
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
@@ -347,7 +351,8 @@
         kind = self.kinds[seat.role]
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         wait = max(SILENCE_FLOOR, SILENCE_RATIO * kind.typical) * flight.aim * SILENCE_STEP ** flight.silences
-        wait /= max(1 - kind.lost, 1 - LOST_MOST)
+        # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
+        wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
 
     def _within_cold_budget(self, seat: Seat) -> bool:
@@ -429,7 +434,8 @@
         kind = self.kinds[seat.role]
         seat.busy_us += SMOOTHING * (self.now - seat.busy_from - seat.busy_us)
         seat.busy_tokens += SMOOTHING * (flight.work - seat.busy_tokens)
-        kind.us_per_token += SMOOTHING * ((self.now - seat.busy_from) / flight.work - kind.us_per_token)
+        kind.work += SMOOTHING * (flight.work - kind.work)
+        kind.us_per_token += SMOOTHING * (latency / (seat.waiting + flight.work) - kind.us_per_token)
         seat.busy_from = self.now
         seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
         kind.paces.append(latency / flight.aim)
@@ -503,6 +509,9 @@
                 seat.depth = value
             elif name == "memory_share":
                 seat.memory = value
+            elif name == "tokens_waiting_k":
+                seat.waiting = value * 1000
+                self.kinds[seat.role].waiting += SMOOTHING * (seat.waiting - self.kinds[seat.role].waiting)
 
     # -- the end
 
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -27,7 +27,12 @@
     """Times to the end of a read or to a first token, as shares of the aim; of answers only."""
     typical: float = 0.0
     """Their median."""
+    waiting: float = 0.0
+    """Smoothed tokens that wait at a server, by reports."""
+    work: float = 0.0
+    """Smoothed tokens of an attempt."""
     us_per_token: float = 0.0
+    """Smoothed time of an attempt for each token that waited or was its own."""
     latency: float = 0.0
     lost: float = 0.0
     """Smoothed share of attempts that ended by their own time-out."""
@@ -49,6 +54,8 @@
     """Requests in flight by the last report; 0 where none came."""
     told_at: int = 0
     """When the last report came."""
+    waiting: float = 0.0
+    """Tokens that wait there to be read or fetched, by the last report."""
     memory: float = 0.0
     """Share of memory held by the last report."""
     latency: float = 0.0
