--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -435,7 +435,10 @@
         seat.busy_us += SMOOTHING * (self.now - seat.busy_from - seat.busy_us)
         seat.busy_tokens += SMOOTHING * (flight.work - seat.busy_tokens)
         kind.work += SMOOTHING * (flight.work - kind.work)
-        kind.us_per_token += SMOOTHING * (latency / (seat.waiting + flight.work) - kind.us_per_token)
+        # A ratio of two averages: a prompt that is nearly all kept has a few tokens and would swamp an average.
+        kind.time += SMOOTHING * (latency - kind.time)
+        kind.tokens += SMOOTHING * (seat.waiting + flight.work - kind.tokens)
+        kind.us_per_token = kind.time / kind.tokens
         seat.busy_from = self.now
         seat.pace += SMOOTHING * (latency / flight.aim - seat.pace)
         kind.paces.append(latency / flight.aim)
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -31,8 +31,12 @@
     """Smoothed tokens that wait at a server, by reports."""
     work: float = 0.0
     """Smoothed tokens of an attempt."""
+    time: float = 0.0
+    """Smoothed time of an attempt."""
+    tokens: float = 0.0
+    """Smoothed tokens that waited before it or were its own."""
     us_per_token: float = 0.0
-    """Smoothed time of an attempt for each token that waited or was its own."""
+    """The ratio of these two."""
     latency: float = 0.0
     lost: float = 0.0
     """Smoothed share of attempts that ended by their own time-out."""
