--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -231,8 +231,7 @@
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
         others = self._depth(seat) - len(seat.open) if seat.role is Role.BOTH else 0.0
         others *= seat.busy_tokens / self.settings.replicas
-        told = seat.waiting * self._fresh(seat)
-        return max(seat.open_work, others, told) * self._us_per_token(seat)
+        return max(seat.open_work, others) * self._us_per_token(seat)
 
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
