--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -30,7 +30,7 @@
 SLOW_RATIO = 8.0  # times the peers' pace at which a server is suspect: past what long, new prompts do to one
 SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
 SILENCE_FLOOR = 0.35  # share of the aim before which no attempt is given up: two tries still fit into the aim
-SILENCE_RATIO = 6.0  # times the typical pace of answers at which an attempt counts as silent
+SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
 LOST_MOST = 0.7  # share of silent attempts past which they prove a jam, not lost answers: then all are waited for
 EARLY = 0.08  # share of the aim by which a server without room has said `full`; later, it holds back one tenant
@@ -349,7 +349,8 @@
         time. None where most are silent, which is a jam: retries would feed it."""
         kind = self.kinds[seat.role]
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
-        wait = max(SILENCE_FLOOR, SILENCE_RATIO * kind.typical) * flight.aim * SILENCE_STEP ** flight.silences
+        slow = sorted(kind.paces)[-len(kind.paces) // 5] if kind.paces else 0.0
+        wait = max(SILENCE_FLOOR, SILENCE_RATIO * slow) * flight.aim * SILENCE_STEP ** flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
