--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -21,7 +21,7 @@
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, past the homes that its share asks for
-HOME_SHARE = 0.25  # share of the readers that are a prefix's homes, so that a hot one doesn't jam a large fleet's
+HOME_SHARE = 0.28  # share of the readers that are a prefix's homes, so that a hot one doesn't jam a large fleet's
 CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
 ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
@@ -29,7 +29,7 @@
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
 SLOW_RATIO = 8.0  # times the peers' pace at which a server is suspect: past what long, new prompts do to one
 SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
-SILENCE_FLOOR = 0.35  # share of the aim before which no attempt is given up: two tries still fit into the aim
+SILENCE_FLOOR = 0.5  # share of the aim before which no attempt is given up: two tries still fit into the aim
 SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
 LOST_MOST = 0.7  # share of silent attempts past which they prove a jam, not lost answers: then all are waited for
@@ -37,7 +37,7 @@
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
-TYPICAL_WEIGHT = 0.7  # of the typical time to a first token: at 0.7 of the aim plain worth is refused
+TYPICAL_WEIGHT = 0.5  # of the typical time to a first token: at 0.7 of the aim plain worth is refused
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
 TRIAL_GAPS = 8  # or so many requests' time at this node, whichever is longer: each trial is one request's delay
 TRIAL_MOST_US = 10_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
@@ -196,7 +196,9 @@
     def _pick_reader(self, flight: Flight) -> Seat | None:
         request = flight.request
         order = self._order(request.prefix or request.session)
-        count = max(1, int(HOME_SHARE * len(order))) if request.prefix else 1
+        # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
+        unseen = 1 - 1 / self.settings.replicas
+        count = max(1, int(HOME_SHARE * unseen * len(order))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
