--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -2,10 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from dataclasses import dataclass, field
 
-from tuliptrack.interface import Request, RequestClass, Role, Server
+from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
+
+_MASK = (1 << 64) - 1
+
+
+def mix(value: int) -> int:
+    """A fixed 64-bit mixer, so that all nodes and processes hash alike."""
+    value = (value + 0x9E3779B97F4A7C15) & _MASK
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
+    return value ^ (value >> 31)
 
 
 @dataclass(slots=True)
@@ -47,6 +58,23 @@
     """Projected tokens given to these servers lately, fading from `carried_at` on."""
     carried_at: int = 0
 
+    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool) -> None:
+        """Bring the averages up to an answer. The time per token is a ratio of two averages: a prompt that is
+        nearly all kept has a few tokens of its own and would swamp an average of ratios."""
+        self.work += weight * (flight.work - self.work)
+        self.time += weight * (latency - self.time)
+        self.tokens += weight * (waiting + flight.work - self.tokens)
+        self.us_per_token = self.time / self.tokens
+        self.paces.append(latency / flight.aim)
+        if read:
+            self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
+
+    def carry(self, tokens: float, now: int, fade: float) -> float:
+        """Add tokens; return what has been carried lately."""
+        self.carried = self.carried * math.exp((self.carried_at - now) / fade) + tokens
+        self.carried_at = now
+        return self.carried
+
 
 @dataclass(slots=True)
 class Seat:
@@ -84,6 +112,45 @@
     sends: deque[int] = field(default_factory=deque)
     """Times of this node's sends there within the cold budget's window."""
 
+    def take(self, flight: Flight, now: int, window: int) -> None:
+        """Note a new attempt there."""
+        if not self.open:
+            self.busy_from = now
+        flight.at, flight.sent = self, now
+        self.open[flight.request.id] = flight
+        self.open_work += flight.work
+        self.sends.append(now)
+        self.recent(now - window)
+
+    def off(self, flight: Flight) -> bool:
+        """Take an attempt off those that wait there; False where its answer had started."""
+        waited = self.open.pop(flight.request.id, None) is not None
+        if waited:
+            self.open_work = max(self.open_work - flight.work, 0.0)
+        return waited
+
+    def told(self, report: dict[str, float], now: int) -> None:
+        """Note a load report, of which fields may be missing."""
+        self.told_at = now
+        self.depth = report.get("in_flight", self.depth)
+        self.memory = report.get("memory_share", self.memory)
+        self.waiting = 1000 * report.get("tokens_waiting_k", self.waiting / 1000)
+
+    def answered(self, flight: Flight, latency: int, now: int, weight: float, read: bool) -> None:
+        """Bring the averages up to an answer."""
+        self.busy_us += weight * (now - self.busy_from - self.busy_us)
+        self.busy_tokens += weight * (flight.work - self.busy_tokens)
+        self.busy_from = now
+        self.pace += weight * (latency / flight.aim - self.pace)
+        if read:
+            self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
+
+    def recent(self, since: int) -> int:
+        """How many sends there are since then; older ones are forgotten."""
+        while self.sends and self.sends[0] < since:
+            self.sends.popleft()
+        return len(self.sends)
+
 
 @dataclass(slots=True)
 class Flight:
@@ -112,3 +179,53 @@
     """Attempts of this stage that ended by their own time-out."""
     tried: list[int] = field(default_factory=list)
     """Servers that turned this request away or failed it."""
+
+
+class Fleet:
+    """The server list as this node was last told it; what follows from it is worked out once a change."""
+
+    def __init__(self, roles: tuple[Role, ...]) -> None:
+        self.roles = roles
+        self.seats: dict[int, Seat] = {}
+        self.orders: dict[int, list[Seat]] = {}
+        """Orders of the ready readers by key, kept by the decision module; a change voids them."""
+        self._ready: dict[Role, list[Seat]] = {}
+        self._parts: dict[tuple[Role, int | None], float] = {}
+
+    def apply(self, change: FleetChange) -> None:
+        """Take a change, or a whole list, in which what isn't named has gone."""
+        self.orders.clear()
+        self._ready.clear()
+        self._parts.clear()
+        if change.kind is not ListKind.DELTA:
+            named = {server.id for server in change.servers}
+            for seat in self.seats.values():
+                if seat.info.id not in named:
+                    seat.info = Server(seat.info.id, seat.info.kind, ServerState.GONE)
+        for info in change.servers:
+            seat = self.seats.setdefault(info.id, Seat(info, self._role(info.kind)))
+            if info.started_at > seat.info.started_at:
+                # A new process under the old id: what the old one did says nothing of it.
+                seat.blamed, seat.pace, seat.latency, seat.memory = {}, 0.0, 0.0, 0.0
+            seat.info = info
+
+    def _role(self, kind: int) -> Role:
+        return self.roles[kind] if kind < len(self.roles) else Role.WRITE
+
+    def ready(self, role: Role) -> list[Seat]:
+        """The servers that take this role's work, mixed ones too."""
+        if role not in self._ready:
+            self._ready[role] = [s for s in self.seats.values()
+                                 if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
+        return self._ready[role]
+
+    def size(self, role: Role, cell: int | None = None) -> float:
+        """The listed sizes of the ready servers of just this role, in all or in one cell, summed."""
+        if (role, cell) not in self._parts:
+            self._parts[role, cell] = sum(s.info.weight for s in self.ready(role)
+                                          if s.role is role and cell in (None, s.info.cell))
+        return max(self._parts[role, cell], 1e-6)
+
+    def cell_part(self, role: Role, cell: int) -> float:
+        """The part of this role's listed size that one cell holds."""
+        return self.size(role, cell) / self.size(role)
