--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -166,6 +166,7 @@
     fall_window: int = 1_000_000
     tick: int = 1_000
     connect_timeout: int = 250_000
+    connection_idle: int = 15_000_000
     may_cancel: bool = False
     may_probe: bool = False
     may_hold_ahead: bool = False
@@ -180,7 +181,7 @@
     def __post_init__(self) -> None:
         _positive(self, "replicas", "max_attempts", "release_within", "fall_multiple", "fall_window", "tick")
         _not_negative(self, "slot", "zone", "over_share_worth", "answer_slack", "drain_grace", "ask_within",
-                      "cold_for", "connect_timeout", "max_retry_after", "far_price")
+                      "cold_for", "connect_timeout", "connection_idle", "max_retry_after", "far_price")
         if not self.classes:
             raise ValueError("classes: at least one is needed")
         if not self.roles:
