--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -42,8 +42,8 @@
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
 TYPICAL_WEIGHT = 0.5  # of the typical time to a first token: where it is the aim, plain worth is refused
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
-TRIAL_GAPS = 8  # or the time of so many requests at this node, if longer: each trial is one request's delay
-TRIAL_MOST_US = 7_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
+TRIAL_GAPS = 20  # or the time of so many requests at this node, if longer: each trial is one request's delay
+TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
 NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
 COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
@@ -56,7 +56,7 @@
 
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
 _BROKEN = (Status.CONNECT_FAILED, Status.RESET)  # what speaks against the whole server
-_ALL = -1  # the key of blame for a whole server; classes have their number, classes of tenants those above
+_ALL = -1  # the key of blame for a whole server; classes have their number, tenants those above
 
 
 class Router:
@@ -263,9 +263,8 @@
         return fit or poor[:most]
 
     def _keys(self, flight: Flight) -> tuple[int, int, int]:
-        """What a failure can be laid to: the server, its service of this class, or of this tenant's class."""
-        cls, count = flight.request.cls, len(self.settings.classes)
-        return _ALL, cls, count * (flight.request.tenant + 1) + cls
+        """What a failure can be laid to: the server, its service of this class, or of this tenant."""
+        return _ALL, flight.request.cls, len(self.settings.classes) + flight.request.tenant
 
     def _usable(self, seat: Seat, flight: Flight) -> bool:
         """Not blamed for this kind of request, or due for a trial; reachable by an open connection where new ones
@@ -382,7 +381,7 @@
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
         """What a failed attempt says, and of what: a broken connection of the server, an error or silence of
         its service of one class, a slow `full` of one tenant's; a quick one tells lack of room."""
-        everything, cls, pair = self._keys(flight)
+        everything, cls, tenant = self._keys(flight)
         early = event.latency < EARLY * flight.aim
         if event.status in _BROKEN:
             self._blame(seat, everything, flight.sent)
@@ -392,7 +391,7 @@
             self._blame(seat, cls, flight.sent)
         elif event.status is Status.FULL and not event.state_lost:
             self._ended(self.kinds[seat.role], 0.0, float(early))
-            self._blame(seat, everything if early else pair, flight.sent)
+            self._blame(seat, everything if early else tenant, flight.sent)
 
     def _outcome(self, event: Outcome) -> None:
         flight = self.flights.get(event.id)
