--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -40,7 +40,7 @@
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
-TYPICAL_WEIGHT = 0.5  # of the typical time to a first token: where it is the aim, plain worth is refused
+TYPICAL_WEIGHT = 0.9  # of the typical time to a first token, times the part of traffic that a node can't see
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
 TRIAL_GAPS = 20  # or the time of so many requests at this node, if longer: each trial is one request's delay
 TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
@@ -73,6 +73,7 @@
         self.quota: dict[int, tuple[float, int]] = {}
         self.kinds = {role: Kind(deque(maxlen=TYPICAL_OF)) for role in Role}
         self.gap = 0.0
+        self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
         self.unreached = 0.0
         self.arrived_at = 0
         self.noted: set[str] = set()
@@ -158,7 +159,7 @@
         typical = 0.0
         for kind in (self.kinds[role] for role in roles):
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
-            told = TYPICAL_WEIGHT * (kind.waiting + kind.work) * kind.us_per_token
+            told = TYPICAL_WEIGHT * self.unseen * (kind.waiting + kind.work) * kind.us_per_token
             typical += fresh * (told + kind.full * flight.aim)
         return max(queue, typical)
 
@@ -168,8 +169,7 @@
         request = flight.request
         order = self._order(request.prefix or request.session)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
-        unseen = 1 - 1 / self.settings.replicas
-        count = max(1, int(HOME_SHARE * unseen * len(order))) if request.prefix else 1
+        count = max(1, int(HOME_SHARE * self.unseen * len(order))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
