--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -35,7 +35,6 @@
 SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
 LOST_MOST = 0.7  # share of silent attempts past which it's a jam, not lost answers: then all are waited for
-UNREACHED_MOST = 0.2  # share of attempts without a connection past which only open ones are used
 EARLY = 0.08  # share of the aim by which a server without room says `full`; later, it holds back a tenant
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
@@ -74,7 +73,6 @@
         self.kinds = {role: Kind(deque(maxlen=TYPICAL_OF)) for role in Role}
         self.gap = 0.0
         self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
-        self.unreached = 0.0
         self.arrived_at = 0
         self.noted: set[str] = set()
         self.refused_at = -CALM_US
@@ -174,7 +172,7 @@
         if not seats:
             return None
         # A session stays at one of its prefix's homes, whichever node it comes through.
-        home = max(seats[:count], key=lambda s: (self._reached(s), self._rank(request.session, s)))
+        home = max(seats[:count], key=lambda s: self._rank(request.session, s))
         if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
             return home
         return min(seats, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
@@ -267,16 +265,10 @@
         return _ALL, flight.request.cls, len(self.settings.classes) + flight.request.tenant
 
     def _usable(self, seat: Seat, flight: Flight) -> bool:
-        """Not blamed for this kind of request, or due for a trial; reachable by an open connection where new ones
-        fail at most servers alike, which is no server's fault."""
-        if (flight.held or flight.tried) and not self._reached(seat):
-            return False
+        """Not blamed for this kind of request, or due for a trial."""
         return not seat.blamed or all(
             self.now >= seat.blamed[key].until for key in self._keys(flight) if key in seat.blamed)
 
-    def _reached(self, seat: Seat) -> bool:
-        return self.unreached < UNREACHED_MOST or self.now - seat.told_at < self.settings.connection_idle
-
     def _trial_wait(self, fails: int) -> int:
         wait = min(max(TRIAL_US * 2 ** (fails - 1), TRIAL_GAPS * self.gap), TRIAL_MOST_US)
         return int(wait * (0.5 + self.random.random()))
@@ -404,7 +396,6 @@
                 self.out.append(Release(event.id))
             return
         seat = flight.at
-        self.unreached += SMOOTHING / 2 * ((event.status is Status.CONNECT_FAILED) - self.unreached)
         if not seat.off(flight):
             seat.streams -= 1
         elif event.status not in (Status.READ, Status.OK):
