--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -29,15 +29,13 @@
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 2.5  # times the threshold at which top worth is refused too: from there on it could only be late
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
-SLOW_RATIO = 8.0  # times the peers' pace at which a server is suspect: past what long, new prompts do to one
-SLOW_FLOOR = 0.15  # share of the aim: below it no server is called slow, whatever its peers do
 SILENCE_FLOOR = 0.5  # share of the aim before which no attempt is given up: two tries still fit into the aim
 SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
 LOST_MOST = 0.7  # share of silent attempts past which it's a jam, not lost answers: then all are waited for
 EARLY = 0.08  # share of the aim by which a server without room says `full`; later, it holds back a tenant
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
-TYPICAL_OF = 15  # answers of one role by whose median this node knows its typical pace
+TYPICAL_OF = 15  # answers of one role by whose slowest fifth this node knows its pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
 TYPICAL_WEIGHT = 0.9  # of the typical time to a first token, times the part of traffic that a node can't see
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
@@ -282,12 +280,10 @@
         self._note(f"server {seat.info.id} suspect", True)
 
     def _clear(self, seat: Seat, flight: Flight) -> None:
-        """An answer clears its kind of blame; slowness far past the role's typical pace is blame, too."""
+        """An answer clears the blame for its kind of request."""
         for key in self._keys(flight) if seat.blamed else ():
             seat.blamed.pop(key, None)
-        if seat.pace > max(SLOW_FLOOR, SLOW_RATIO * self.kinds[seat.role].typical):
-            self._blame(seat, _ALL, self.now)
-        elif not seat.blamed:
+        if not seat.blamed:
             self._note(f"server {seat.info.id} suspect", False)
 
     def _patience(self, flight: Flight, seat: Seat) -> int:
@@ -297,7 +293,10 @@
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         if seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE:
             return 0  # It could not be sent again.
-        slow = sorted(kind.paces)[-len(kind.paces) // 5] if kind.paces else 0.0
+        # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
+        olds = [old for s in self.fleet.ready(seat.role) if s.open and (old := self._oldest(s))]
+        paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
+        slow = paces[-len(paces) // 5]
         wait = max(SILENCE_FLOOR, SILENCE_RATIO * slow) * flight.aim * SILENCE_STEP ** flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
@@ -361,7 +360,6 @@
         kind, read = self.kinds[seat.role], seat.role is not Role.WRITE and flight.held is None
         seat.answered(flight, latency, self.now, SMOOTHING, read)
         kind.answered(flight, latency, seat.waiting, SMOOTHING, read)
-        kind.typical = median_low(kind.paces)
         self._ended(kind, 0.0, 0.0)
         self._clear(seat, flight)
 
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -36,8 +36,6 @@
 
     paces: deque[float]
     """Times to the end of a read or to a first token, as shares of the aim; of answers only."""
-    typical: float = 0.0
-    """Their median."""
     waiting: float = 0.0
     """Smoothed tokens that wait at a server, by reports."""
     work: float = 0.0
@@ -92,8 +90,6 @@
     """Share of memory held by the last report."""
     latency: float = 0.0
     """Smoothed time to the end of a read, in microseconds; 0 before the first."""
-    pace: float = 0.0
-    """Smoothed time to a read's end or a first token, as a share of the request's aim."""
     open_work: float = 0.0
     """Tokens that this node's open attempts there have to read or fetch, as far as it can tell."""
     busy_us: float = 0.0
@@ -141,7 +137,6 @@
         self.busy_us += weight * (now - self.busy_from - self.busy_us)
         self.busy_tokens += weight * (flight.work - self.busy_tokens)
         self.busy_from = now
-        self.pace += weight * (latency / flight.aim - self.pace)
         if read:
             self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
 
@@ -206,7 +201,7 @@
             seat = self.seats.setdefault(info.id, Seat(info, self._role(info.kind)))
             if info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                seat.blamed, seat.pace, seat.latency, seat.memory = {}, 0.0, 0.0, 0.0
+                seat.blamed, seat.latency, seat.memory, seat.waiting = {}, 0.0, 0.0, 0.0
             seat.info = info
 
     def _role(self, kind: int) -> Role:
