--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -143,7 +143,8 @@
     """What a node is told when it starts; the same for every node but for `slot`.
 
     `report_fields` names the values of a load report, of which the module reads `in_flight` (requests held,
-    waiting states too) and `memory_share` (0 to 1); others are ignored.
+    waiting states too), `memory_share` (0 to 1) and `tokens_waiting_k` (thousands of prompt tokens to read or
+    fetch); others are ignored.
     """
 
     replicas: int
@@ -166,7 +167,6 @@
     fall_window: int = 1_000_000
     tick: int = 1_000
     connect_timeout: int = 250_000
-    connection_idle: int = 15_000_000
     may_cancel: bool = False
     may_probe: bool = False
     may_hold_ahead: bool = False
@@ -181,7 +181,7 @@
     def __post_init__(self) -> None:
         _positive(self, "replicas", "max_attempts", "release_within", "fall_multiple", "fall_window", "tick")
         _not_negative(self, "slot", "zone", "over_share_worth", "answer_slack", "drain_grace", "ask_within",
-                      "cold_for", "connect_timeout", "connection_idle", "max_retry_after", "far_price")
+                      "cold_for", "connect_timeout", "max_retry_after", "far_price")
         if not self.classes:
             raise ValueError("classes: at least one is needed")
         if not self.roles:
--- a/tuliptrack/wirehost.py
+++ b/tuliptrack/wirehost.py
@@ -145,7 +145,6 @@
         cold_for=int(duties["cold"]), cold_from=float(duties["coldFrom"]),
         fall_multiple=float(duties["fallMultiple"]), fall_window=int(duties["fall"]),
         tick=int(env.get("granularity", 1000)), connect_timeout=int(limits.get("connectTimeout", 0)),
-        connection_idle=int(limits.get("connIdle", 15_000_000)),
         may_cancel=bool(limits.get("cancel", False)), may_probe=bool(limits.get("mayProbe", False)),
         may_hold_ahead=bool(facts.get("earlyPairing", False)),
         may_advise_retry=bool(limits.get("retryAfter", False)), may_resume=bool(facts.get("resume", False)),
