--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -155,7 +155,7 @@
         typical = 0.0
         for kind in (self.kinds[role] for role in roles):
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
-            told = TYPICAL_WEIGHT * self.unseen * (kind.waiting + kind.work) * kind.us_per_token
+            told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
             typical += fresh * (told + kind.full * flight.aim)
         return max(queue, typical)
 
@@ -297,7 +297,7 @@
         olds = [old for s in self.fleet.ready(seat.role) if s.open and (old := self._oldest(s))]
         paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
         slow = paces[-len(paces) // 5]
-        wait = max(SILENCE_FLOOR, SILENCE_RATIO * slow) * flight.aim * SILENCE_STEP ** flight.silences
+        wait = max(SILENCE_FLOOR / max(self.unseen, 0.5), SILENCE_RATIO * slow) * flight.aim * SILENCE_STEP ** flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
