--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -37,7 +37,7 @@
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose slowest fifth this node knows its pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
-TYPICAL_WEIGHT = 0.9  # of the typical time to a first token, times the part of traffic that a node can't see
+TYPICAL_WEIGHT = 0.9  # of the typical time to a first token, times the square of the part a node can't see
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
 TRIAL_GAPS = 20  # or the time of so many requests at this node, if longer: each trial is one request's delay
 TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
@@ -297,7 +297,9 @@
         olds = [old for s in self.fleet.ready(seat.role) if s.open and (old := self._oldest(s))]
         paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
         slow = paces[-len(paces) // 5]
-        wait = max(SILENCE_FLOOR / max(self.unseen, 0.5), SILENCE_RATIO * slow) * flight.aim * SILENCE_STEP ** flight.silences
+        # Few nodes see much: there what is queued explains a wait, and patience is longer.
+        wait = max(SILENCE_FLOOR / max(self.unseen, 0.5), SILENCE_RATIO * slow) * flight.aim
+        wait *= SILENCE_STEP**flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
