--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -298,7 +298,7 @@
         paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
         slow = paces[-len(paces) // 5]
         # Few nodes see much: there what is queued explains a wait, and patience is longer.
-        wait = max(SILENCE_FLOOR / max(self.unseen, 0.5), SILENCE_RATIO * slow) * flight.aim
+        wait = max(SILENCE_FLOOR / max(self.unseen, 0.5) ** 0.75, SILENCE_RATIO * slow) * flight.aim
         wait *= SILENCE_STEP**flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
