--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -291,10 +291,11 @@
         time. None where most are silent, which is a jam: retries would feed it."""
         kind = self.kinds[seat.role]
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
-        if seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE:
-            return 0  # It could not be sent again.
+        unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
+        if left <= 0 or unsafe or kind.lost >= LOST_MOST:
+            return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
-        olds = [old for s in self.fleet.ready(seat.role) if s.open and (old := self._oldest(s))]
+        olds = [old for s in self.fleet.ready(seat.role) if (old := self._oldest(s))]
         paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
         slow = paces[-len(paces) // 5]
         # Few nodes see much: there what is queued explains a wait, and patience is longer.
@@ -302,7 +303,7 @@
         wait *= SILENCE_STEP**flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
-        return int(wait) if left > 0 and kind.lost < LOST_MOST and self.now + 2 * wait < flight.due else 0
+        return int(wait) if self.now + 2 * wait < flight.due else 0
 
     def _within_cold_budget(self, seat: Seat) -> bool:
         """Keeps a cold server's sends, in any span of the rule, to its ramped part of what warm peers get."""
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -102,7 +102,7 @@
     streams: int = 0
     """This node's answers that have started there."""
     blamed: dict[int, Blame] = field(default_factory=dict)
-    """What has failed there lately: the whole server, one class, or one class of one tenant."""
+    """What has failed there lately: the whole server, its service of one class, or of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
     """This node's attempts there that have neither ended nor started to answer, oldest first."""
     sends: deque[int] = field(default_factory=deque)
