--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -19,7 +19,7 @@
     Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Log, Outcome, Refuse,
     Release, Request, Role, Send, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
-from tuliptrack.state import Blame, Fleet, Flight, Kind, Seat, mix
+from tuliptrack.state import Asked, Blame, Fleet, Flight, Kind, Seat, mix
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, the last home counted
@@ -43,13 +43,14 @@
 TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
 NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
-COLD_MARGIN = 0.8  # share of the cold budget used, leaving room for chance and for nodes that see less
+COLD_SHARE = 0.25  # of the multiple that turns are given out at; `_cold_turn` tells why a quarter
+COLD_SPREAD = (math.sqrt(5) - 1) / 2  # successive turns' multiples of it, mod 1, spread evenly over 0 to 1
+ASKED_SMOOTHING = 0.05  # weight of a request in what this node is asked: some twenty tell the mix of classes
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
 QUOTA_LEAST = 4.0  # requests it may save up at least: one node of hundreds gets them by chance, not evenly
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
 CALM_US = 2_000_000  # microseconds without a refusal after which the log says that refusing has ended
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
-SUBSCRIBE_TOKEN = 1 << 62  # its timer's token, above all that are made of request ids
 
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
 _BROKEN = (Status.CONNECT_FAILED, Status.RESET)  # what speaks against the whole server
@@ -62,28 +63,27 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = Random(seed)
-        self.now = 0
+        self.now = self.born = 0
         self.out: list[Action] = []
         self.fleet = Fleet(settings.roles)
-        self.seats = self.fleet.seats
+        self.seats, self.asked = self.fleet.seats, Asked()
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = {}
         self.kinds = {role: Kind(deque(maxlen=TYPICAL_OF)) for role in Role}
-        self.gap = 0.0
+        self.quotas = sum(t.quota_per_s for t in settings.tenants)
+        self.gap, self.arrived_at = 0.0, 0
         self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
-        self.arrived_at = 0
         self.noted: set[str] = set()
         self.refused_at = -CALM_US
         self.acts: dict[type, Callable[[Any], None]] = {
-            Request: self._arrive, Outcome: self._outcome, Started: self._started, Timer: self._timer,
-            ClientGone: self._client_gone, FleetChange: self._listed}
-        self.has_depth = "in_flight" in settings.report_fields
+            Request: self._arrive, Outcome: self._outcome, Started: self._started, FleetChange: self._listed,
+            ClientGone: self._client_gone, Timer: lambda _: self.out.append(Subscribe(True))}
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order; return the actions, in order."""
-        self.now, self.out = now, []
+        self.now, self.out, self.born = now, [], self.born or now
         for event in events:
             if type(event) in self.acts:
                 self.acts[type(event)](event)
@@ -93,16 +93,12 @@
 
     def _listed(self, change: FleetChange) -> None:
         if change.kind is ListKind.FAILED:
-            self.out.append(SetTimer(int(SUBSCRIBE_US * (1 + self.random.random())), SUBSCRIBE_TOKEN))
+            self.out.append(SetTimer(int(SUBSCRIBE_US * (1 + self.random.random())), 0))
             return
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
         self.fleet.apply(change)
 
-    def _timer(self, event: Timer) -> None:
-        if event.token == SUBSCRIBE_TOKEN:
-            self.out.append(Subscribe(True))
-
     # -- arrival: worth and refusal
 
     def _arrive(self, request: Request) -> None:
@@ -112,7 +108,9 @@
             answer = request.hint / cls.token_aim
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
+        flight.unread = max(request.prompt_tokens - (request.prefix_tokens if request.prefix else 0.0), 1.0)
         self.flights[request.id] = flight
+        self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING)
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
         self.gap += SMOOTHING * (self.now - (self.arrived_at or self.now) - self.gap)
@@ -121,10 +119,7 @@
         refuse = self._outlook(flight, reader) > tier * QUEUE_THRESHOLD * aim
         self.refused_at = self.now if refuse else self.refused_at
         self._note("refusing by worth", self.now - self.refused_at < CALM_US)
-        if refuse:
-            self._finish(flight)
-        else:
-            self._send(flight, reader)
+        self._send(flight, None if refuse else reader)
 
     def _note(self, what: str, on: bool) -> None:
         """Tell the operators once when an exception begins and once when it ends."""
@@ -169,8 +164,8 @@
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
-        # A session stays at one of its prefix's homes, whichever node it comes through.
-        home = max(seats[:count], key=lambda s: self._rank(request.session, s))
+        # A session stays at one of its prefix's homes, whichever node it comes through; a turn would lapse.
+        home = max(seats[:count], key=lambda s: (self._cold_turn(s, flight), self._rank(request.session, s)))
         if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
             return home
         return min(seats, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
@@ -192,7 +187,7 @@
     def _depth(self, seat: Seat) -> float:
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
         count as its reports count them, since each read there slows all of them."""
-        own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
+        own = seat.streams if seat.role is Role.BOTH and "in_flight" not in self.settings.report_fields else 0
         return seat.depth * self._fresh(seat) + len(seat.open) + own
 
     def _queue_us(self, seat: Seat) -> float:
@@ -200,8 +195,7 @@
         the threshold fits fast and slow servers, long and short prompts; slowness alone is no overload."""
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
         others = (self._depth(seat) - len(seat.open)) * seat.busy_tokens / self.settings.replicas
-        others = others if seat.role is Role.BOTH else 0.0
-        return max(seat.open_work, others) * self._us_per_token(seat)
+        return max(seat.open_work, others * (seat.role is Role.BOTH)) * self._us_per_token(seat)
 
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
@@ -236,7 +230,8 @@
         if cell is not None and (reads := self.fleet.cell_part(Role.READ, cell)):
             cell = cell if self.random.random() < self.fleet.cell_part(Role.WRITE, cell) / reads else None
         # Nodes that know equally little must not all choose one server: ties go by the node's own chance.
-        return min(near, key=lambda s: (s.info.cell != cell, loads[s.info.id], self.random.random()))
+        return min(near, key=lambda s: (not self._cold_turn(s, flight), s.info.cell != cell, loads[s.info.id],
+                                        self.random.random()))
 
     def _load(self, seat: Seat) -> float:
         """Projected own tokens there, and what all of its role get from this node, each by the list's sizes:
@@ -252,7 +247,7 @@
         poor: list[Seat] = []
         for seat in seats:
             if (seat.info.id not in flight.tried and self._in_group(flight, seat)
-                    and self._within_cold_budget(seat)):
+                    and self._cold_turn(seat, flight) is not None):
                 (fit if self._usable(seat, flight) else poor).append(seat)
                 if len(fit) == most:
                     break
@@ -305,18 +300,32 @@
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
         return int(wait) if self.now + 2 * wait < flight.due else 0
 
-    def _within_cold_budget(self, seat: Seat) -> bool:
-        """Keeps a cold server's sends, in any span of the rule, to its ramped part of what warm peers get."""
-        age = self.now - seat.info.started_at
-        if not seat.info.started_at or age >= self.settings.cold_for:
-            return True
-        since = self.now - self.settings.fall_window
-        warm = [s.recent(since) for s in self.seats.values() if s.role is seat.role and s is not seat]
-        ramp = self.settings.cold_from + (1 - self.settings.cold_from) * age / self.settings.cold_for
-        mean = sum(warm) / len(warm) if warm else 0.0
-        recent, allowed = seat.recent(since), COLD_MARGIN * ramp * mean
-        # A share under one send is kept by chance, or hundreds of nodes would each send one at the same time.
-        return recent < allowed if allowed >= 1 else not recent and self.random.random() < COLD_MARGIN * ramp
+    def _cold_turn(self, seat: Seat, flight: Flight) -> int | None:
+        """The turn by which a request may go to a server: 0 where it is warm, None where there is none.
+
+        A cold server is pushed over by what all nodes send it in one window. So they send by turns, numbered
+        from its start and handed round their slots. One comes whenever its ramp has made room for a request,
+        at COLD_SHARE x fall_multiple of its part of the quotas, which the fleet is built to carry; it is good
+        for one send and lapses after a fall_window. Those of use in a window came in it or in the one before:
+        2 x COLD_SHARE of what breaks the rule, and one. The rest is for quotas past what the fleet can do and
+        servers gone before this node's first list. Peers, traffic and chance have no part in it: a batch of
+        retries finds one send, and a new node leaves what its last life may have used. A class as heavy as h
+        mean requests fits one turn in h, evenly spread."""
+        s, start = self.settings, seat.info.started_at
+        if not start or self.now >= start + s.cold_for:
+            return 0
+        able = self.quotas * self.fleet.share(seat) / 1e6 or 1 / s.fall_window  # no quota told: one
+        rate = min(COLD_SHARE * s.fall_multiple, 1.0) * able
+
+        def come(at: int) -> int:
+            return int(rate * at * (s.cold_from + (1 - s.cold_from) * at / (2 * s.cold_for))) if at > 0 else 0
+
+        turn = come(self.now - start)
+        turn -= (turn + mix(seat.info.id) - s.slot) % s.replicas
+        if turn <= max(seat.turn, come(max(self.now - s.fall_window, self.born) - start)):
+            return None
+        heavy = self.asked.heaviness(flight.request.cls, seat.role)
+        return turn if turn * COLD_SPREAD % 1 * heavy <= 1 else None
 
     def _in_group(self, flight: Flight, seat: Seat) -> bool:
         """Whether a send there can't double an effect, given what may already have run."""
@@ -325,9 +334,8 @@
         sent, first = flight.effect
         if flight.cls.effect is Effect.UNSAFE or self.now - sent > flight.cls.dedup_window:
             return False
-        scope = flight.cls.key_scope
-        return scope is KeyScope.ALL or (seat.info.zone == first.zone
-                                         and (scope is KeyScope.ZONE or seat.info.cell == first.cell))
+        scope, zone, cell = flight.cls.key_scope, seat.info.zone == first.zone, seat.info.cell == first.cell
+        return scope is KeyScope.ALL or (zone and (scope is KeyScope.ZONE or cell))
 
     # -- attempts
 
@@ -338,9 +346,9 @@
             return
         request = flight.request
         flight.attempts += 1
-        shared = request.prefix_tokens if request.prefix and not flight.held else 0.0
-        flight.work = max(request.prompt_tokens - shared, 1.0)
-        seat.take(flight, self.now, self.settings.fall_window)
+        flight.work = max(request.prompt_tokens, 1.0) if flight.held else flight.unread
+        seat.turn = self._cold_turn(seat, flight) or seat.turn
+        seat.take(flight, self.now)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
             self.kinds[seat.role].carry(flight.cost, self.now, CARRIED_US)
@@ -363,14 +371,9 @@
         kind, read = self.kinds[seat.role], seat.role is not Role.WRITE and flight.held is None
         seat.answered(flight, latency, self.now, SMOOTHING, read)
         kind.answered(flight, latency, seat.waiting, SMOOTHING, read)
-        self._ended(kind, 0.0, 0.0)
+        kind.ended(0.0, 0.0, self.now, SMOOTHING)
         self._clear(seat, flight)
 
-    def _ended(self, kind: Kind, lost: float, full: float) -> None:
-        kind.lost += SMOOTHING * (lost - kind.lost)
-        kind.full += SMOOTHING * (full - kind.full)
-        kind.told_at = self.now
-
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
         """What a failed attempt says, and of what: a broken connection of the server, an error or silence of
         its service of one class, a slow `full` of one tenant's; a quick one tells lack of room."""
@@ -380,10 +383,10 @@
             self._blame(seat, everything, flight.sent)
         elif event.status is Status.ERROR or (event.status is Status.TIMEOUT and self.now < flight.due):
             flight.silences += 1
-            self._ended(self.kinds[seat.role], 1.0, 0.0)
+            self.kinds[seat.role].ended(1.0, 0.0, self.now, SMOOTHING)
             self._blame(seat, cls, flight.sent)
         elif event.status is Status.FULL and not event.state_lost:
-            self._ended(self.kinds[seat.role], 0.0, float(early))
+            self.kinds[seat.role].ended(0.0, float(early), self.now, SMOOTHING)
             self._blame(seat, everything if early else tenant, flight.sent)
 
     def _outcome(self, event: Outcome) -> None:
@@ -418,10 +421,8 @@
         # What follows an attempt that has not answered: the next stage, another server, or the end.
         flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
         jam = event.status is Status.FULL and self.kinds[seat.role].full > FULL_MOST
-        if event.status is Status.MOOT or jam:
-            self._finish(flight)
-        else:
-            self._send(flight, self._pick_writer(flight) if flight.held else self._pick_reader(flight))
+        seek = self._pick_writer if flight.held else self._pick_reader
+        self._send(flight, None if event.status is Status.MOOT or jam else seek(flight))
 
     # -- the end
 
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
 
@@ -52,6 +52,7 @@
     full: float = 0.0
     """Smoothed share of attempts turned away at once for lack of room."""
     told_at: int = 0
+    """When the last attempt ended or answered."""
     carried: float = 0.0
     """Projected tokens given to these servers lately, fading from `carried_at` on."""
     carried_at: int = 0
@@ -67,6 +68,12 @@
         if read:
             self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
 
+    def ended(self, lost: float, full: float, now: int, weight: float) -> None:
+        """Note the end of an attempt: by its own time-out, turned away at once, or neither."""
+        self.lost += weight * (lost - self.lost)
+        self.full += weight * (full - self.full)
+        self.told_at = now
+
     def carry(self, tokens: float, now: int, fade: float) -> float:
         """Add tokens; return what has been carried lately."""
         self.carried = self.carried * math.exp((self.carried_at - now) / fade) + tokens
@@ -105,18 +112,16 @@
     """What has failed there lately: the whole server, its service of one class, or of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
     """This node's attempts there that have neither ended nor started to answer, oldest first."""
-    sends: deque[int] = field(default_factory=deque)
-    """Times of this node's sends there within the cold budget's window."""
+    turn: int = 0
+    """The last turn at it that this node has used, while it was cold."""
 
-    def take(self, flight: Flight, now: int, window: int) -> None:
+    def take(self, flight: Flight, now: int) -> None:
         """Note a new attempt there."""
         if not self.open:
             self.busy_from = now
         flight.at, flight.sent = self, now
         self.open[flight.request.id] = flight
         self.open_work += flight.work
-        self.sends.append(now)
-        self.recent(now - window)
 
     def off(self, flight: Flight) -> bool:
         """Take an attempt off those that wait there; False where its answer had started."""
@@ -140,12 +145,6 @@
         if read:
             self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
 
-    def recent(self, since: int) -> int:
-        """How many sends there are since then; older ones are forgotten."""
-        while self.sends and self.sends[0] < since:
-            self.sends.popleft()
-        return len(self.sends)
-
 
 @dataclass(slots=True)
 class Flight:
@@ -170,6 +169,8 @@
     """A final answer was given, or the client has left; only outcomes are awaited."""
     effect: tuple[int, Server] | None = None
     """When and where the first attempt was sent that may have run."""
+    unread: float = 1.0
+    """Tokens of the prompt that a reader is not likely to have kept."""
     silences: int = 0
     """Attempts of this stage that ended by their own time-out."""
     tried: list[int] = field(default_factory=list)
@@ -186,6 +187,7 @@
         """Orders of the ready readers by key, kept by the decision module; a change voids them."""
         self._ready: dict[Role, list[Seat]] = {}
         self._parts: dict[tuple[Role, int | None], float] = {}
+        self._most = {Role.READ: 0, Role.WRITE: 0}
 
     def apply(self, change: FleetChange) -> None:
         """Take a change, or a whole list, in which what isn't named has gone."""
@@ -196,13 +198,15 @@
             named = {server.id for server in change.servers}
             for seat in self.seats.values():
                 if seat.info.id not in named:
-                    seat.info = Server(seat.info.id, seat.info.kind, ServerState.GONE)
+                    seat.info = replace(seat.info, state=ServerState.GONE)
         for info in change.servers:
             seat = self.seats.setdefault(info.id, Seat(info, self._role(info.kind)))
             if info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
-                seat.blamed, seat.latency, seat.memory, seat.waiting = {}, 0.0, 0.0, 0.0
+                seat.blamed, seat.latency, seat.memory, seat.waiting, seat.turn = {}, 0.0, 0.0, 0.0, 0
             seat.info = info
+        for role in (Role.READ, Role.WRITE):
+            self._most[role] = max(self._most[role], len(self.ready(role)))
 
     def _role(self, kind: int) -> Role:
         return self.roles[kind] if kind < len(self.roles) else Role.WRITE
@@ -224,3 +228,38 @@
     def cell_part(self, role: Role, cell: int) -> float:
         """The part of this role's listed size that one cell holds."""
         return self.size(role, cell) / self.size(role)
+
+    def share(self, seat: Seat) -> float:
+        """The part that a ready server is of all that do its stage, by its listed size within its role and
+        the most of them ever listed here: it doesn't grow when others go. A mixed server does both stages."""
+        sizes = [s.info.weight for s in self.seats.values() if s.role is seat.role]
+        most = max(n for role, n in self._most.items() if seat.role in (role, Role.BOTH))
+        return seat.info.weight * len(sizes) / (sum(sizes) or 1.0) / most
+
+
+class Asked:
+    """What this node was asked: mean tokens of prompt to read and of answer, by class and in all."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.all = (0.0, 0.0)
+        self.by_class: dict[int, tuple[float, float]] = {}
+
+    def note(self, cls: int, prompt: float, answer: float, weight: float) -> None:
+        """Take one more request, of which the first ones weigh more. What is known of all starts at nil, so
+        that each class looks heavy at first: twice, then half again what it is, and so on."""
+        new = (prompt, answer)
+        self.count += 1
+        weight = max(weight, 1 / (self.count + 1))
+        self.all = _toward(self.all, new, weight)
+        self.by_class[cls] = _toward(self.by_class.get(cls, new), new, weight)
+
+    def heaviness(self, cls: int, role: Role) -> float:
+        """How many mean requests one of this class weighs: by its prompt at readers, by its answer at
+        writers, by whichever is more at mixed servers."""
+        prompt, answer = (own / max(of, 1.0) for own, of in zip(self.by_class[cls], self.all, strict=True))
+        return prompt if role is Role.READ else answer if role is Role.WRITE else max(prompt, answer)
+
+
+def _toward(old: tuple[float, float], new: tuple[float, float], weight: float) -> tuple[float, float]:
+    return old[0] + weight * (new[0] - old[0]), old[1] + weight * (new[1] - old[1])
