Turns come at a third of the multiple, and an open one is room where the role is jammed

Cause: the first form of the turns cost service in a release of servers. Now the outlook of a request that has a turn is that server's own queue, and turns come at a third of the multiple (by the argument in _cold_turn: a third for a window's own turns, a third for those still open from the one before, a third for what the settings can't tell; it was a quarter, with half the budget unused). Where it could hurt: a turn lets one request past a refusal that is meant for its worth.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -13,7 +13,7 @@
 from random import Random
 
 import pytest
-from helpers import BOTH, MS, READ, WRITE, S, World, server, settings
+from helpers import BOTH, MS, READ, WRITE, S, World, only, server, settings
 
 from tuliptrack.brain import Router
 from tuliptrack.interface import (
@@ -21,6 +21,8 @@
     FleetChange,
     ListKind,
     Outcome,
+    Refuse,
+    Role,
     Send,
     Server,
     ServerState,
@@ -202,3 +204,24 @@
 def test_a_heavy_class_is_counted_by_its_weight(service: Service) -> None:
     service.at(START, lambda: setattr(service, "heavy", 0.9))
     assert service.run().kept()
+
+
+@pytest.mark.parametrize("since", [1, 4, 8])
+def test_a_flood_at_every_node_after_a_lull_finds_no_turns_saved_up(since: int) -> None:
+    service = Service(40, rate=0.05 * QUOTA)
+    for slot in range(40):
+        for k in range(40):
+            service.each(START + since * S + 50 * MS * k + slot, service.ask, slot)
+    assert service.run().kept()
+    assert sum(map(len, service.sent.values())) >= 10
+
+
+def test_a_turn_at_a_cold_server_is_taken_where_the_role_is_jammed() -> None:
+    reader, writer = server(1, READ), server(11, WRITE)
+    for at, kind in ((START, Send), (0, Refuse)):
+        w = World(Router(Service(1, rate=1.0).settings, 1), START)
+        w.tell(FleetChange(ListKind.CACHED, 1, (replace(reader, started_at=at), writer)))
+        w.now += 5 * S
+        role = w.router.kinds[Role.READ]
+        role.full, role.told_at = 1.0, w.now  # what it tried was turned away at once
+        only(kind, w.ask()[1])
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -43,7 +43,7 @@
 TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
 NEAR_TIE = 1.0  # of the mean load: so far above the least may a writer in the reader's cell lie
 MEMORY_ABOVE = 0.12  # share of memory above the writers' median at which a writer is passed over
-COLD_SHARE = 0.25  # of the multiple that turns are given out at; `_cold_turn` tells why a quarter
+COLD_SHARE = 1 / 3  # of the multiple at which turns come; `_cold_turn` tells why a third
 COLD_SPREAD = (math.sqrt(5) - 1) / 2  # successive turns' multiples of it, mod 1, spread evenly over 0 to 1
 ASKED_SMOOTHING = 0.05  # weight of a request in what this node is asked: some twenty tell the mix of classes
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
@@ -140,8 +140,8 @@
         return over
 
     def _outlook(self, flight: Flight, reader: Seat | None) -> float:
-        """Microseconds to a first token where the request would go. An idle server that it would not get must
-        not hide the jam at those it would; states that wait for a writer show late in any report."""
+        """Microseconds to a first token where the request would go. An idle server that it would not get
+        can't hide a jam where it would; a turn at a cold one is room; waiting states show late in reports."""
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
         queue = self._queue_us(reader) if reader else 0.0
         queue += writer.open_work * self._us_per_token(writer) if writer else 0.0
@@ -152,7 +152,7 @@
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
             told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
             typical += fresh * (told + kind.full * flight.aim)
-        return max(queue, typical)
+        return queue if reader and self._cold_turn(reader, flight) else max(queue, typical)
 
     # -- the first stage: a reader
 
@@ -306,11 +306,11 @@
         A cold server is pushed over by what all nodes send it in one window. So they send by turns, numbered
         from its start and handed round their slots. One comes whenever its ramp has made room for a request,
         at COLD_SHARE x fall_multiple of its part of the quotas, which the fleet is built to carry; it is good
-        for one send and lapses after a fall_window. Those of use in a window came in it or in the one before:
-        2 x COLD_SHARE of what breaks the rule, and one. The rest is for quotas past what the fleet can do and
-        servers gone before this node's first list. Peers, traffic and chance have no part in it: a batch of
-        retries finds one send, and a new node leaves what its last life may have used. A class as heavy as h
-        mean requests fits one turn in h, evenly spread."""
+        for one send and lapses after a fall_window. A window can see turns that came in it, a third of what
+        breaks the rule, and in the one before, a third. The last third is for the one that may come at its
+        edge, quotas past what the fleet can do and servers gone before this node's first list. Peers, traffic
+        and chance have no part in it: a batch of retries finds one send, and a new node leaves what its last
+        life may have used. A class as heavy as h mean requests fits one turn in h, evenly spread."""
         s, start = self.settings, seat.info.started_at
         if not start or self.now >= start + s.cold_for:
             return 0
