--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -206,6 +206,19 @@
     assert service.run().kept()
 
 
+def test_a_server_that_leaves_the_list_and_comes_back_with_its_old_start_keeps_its_used_turns() -> None:
+    servers = [server(1, READ), server(2, WRITE), server(3, WRITE, started_at=START)]
+    w = World(Router(replace(Service(1, rate=1.0).settings, tenants=()), 1), START)
+    w.tell(FleetChange(ListKind.FULL, 1, tuple(servers)))
+    used = []
+    for _ in range(20):
+        number, said = w.ask(after=0 if used else 6 * S)
+        used.append(only(Send, w.end(number, only(Send, said).server, Status.READ, after=1 * MS)).server)
+        for listed in (servers[:2], servers):
+            w.tell(FleetChange(ListKind.FULL, 2, tuple(listed)))
+    assert used.count(3) == 1, "one turn, one send"
+
+
 @pytest.mark.parametrize("since", [1, 4, 8])
 def test_a_flood_at_every_node_after_a_lull_finds_no_turns_saved_up(since: int) -> None:
     service = Service(40, rate=0.05 * QUOTA)
