--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -210,7 +210,7 @@
     servers = [server(1, READ), server(2, WRITE), server(3, WRITE, started_at=START)]
     w = World(Router(replace(Service(1, rate=1.0).settings, tenants=()), 1), START)
     w.tell(FleetChange(ListKind.FULL, 1, tuple(servers)))
-    used = []
+    used: list[int] = []
     for _ in range(20):
         number, said = w.ask(after=0 if used else 6 * S)
         used.append(only(Send, w.end(number, only(Send, said).server, Status.READ, after=1 * MS)).server)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -107,6 +107,23 @@
     assert w.router.kinds[Role.READ].lost > 0.5
 
 
+def test_a_node_that_refuses_gives_up_no_attempt_since_its_retry_would_feed_the_jam() -> None:
+    w = world(fleet(readers=8), replicas=NODES)
+
+    def patience(after: int = 0) -> int:
+        number, said = w.ask(after=after)
+        sent = only(Send, said)
+        w.end(number, sent.server, Status.READ)
+        return sent.timeout
+
+    assert patience()
+    w.router.kinds[Role.READ].full, w.router.kinds[Role.READ].told_at = 1.0, w.now
+    only(Refuse, w.ask()[1])
+    w.router.kinds[Role.READ].full = 0.0
+    assert patience(after=1 * S) == 0
+    assert patience(after=2 * S), "silence counts again once it has stopped refusing"
+
+
 def test_where_most_attempts_are_turned_away_at_once_a_request_is_not_offered_on() -> None:
     w = world(fleet(readers=8), replicas=NODES)
     offers = []
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -49,7 +49,7 @@
 QUOTA_BURST_S = 2.0  # seconds of a tenant's quota it may save up: smooths chance, too short to hide a burst
 QUOTA_LEAST = 4.0  # requests it may save up at least: one node of hundreds gets them by chance, not evenly
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
-CALM_US = 2_000_000  # microseconds without a refusal after which the log says that refusing has ended
+CALM_US = 2_000_000  # microseconds without a refusal after which refusing has ended, for log and time-outs
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
 
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
@@ -283,11 +283,11 @@
 
     def _patience(self, flight: Flight, seat: Seat) -> int:
         """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
-        time. None where most are silent, which is a jam: retries would feed it."""
+        time. None where most are silent or this node refuses, which is a jam: retries would feed it."""
         kind = self.kinds[seat.role]
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
-        if left <= 0 or unsafe or kind.lost >= LOST_MOST:
+        if left <= 0 or unsafe or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
             return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
         olds = [old for s in self.fleet.ready(seat.role) if (old := self._oldest(s))]
