--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -113,7 +113,7 @@
     def patience(after: int = 0) -> int:
         number, said = w.ask(after=after)
         sent = only(Send, said)
-        w.end(number, sent.server, Status.READ)
+        serve(w, number, sent.server)
         return sent.timeout
 
     assert patience()
@@ -124,6 +124,24 @@
     assert patience(after=2 * S), "silence counts again once it has stopped refusing"
 
 
+def test_reads_long_out_at_several_readers_refuse_before_any_answer_and_one_silent_reader_does_not() -> None:
+    for stuck, kind in ((3, Refuse), (1, Send)):
+        w = world(fleet(readers=8), replicas=NODES)
+        reads = {n: only(Send, w.ask(session=n, prefix=n)[1]).server for n in range(1, 9)}
+        assert len(set(reads.values())) > 4
+        silent = list(dict.fromkeys(reads.values()))[:stuck]
+        for number, at in reads.items():
+            if at not in silent:
+                serve(w, number, at)
+        only(kind, w.ask(after=1800 * MS)[1])
+
+
+def serve(w: World, number: int, reader: int) -> None:
+    writer = only(Send, w.end(number, reader, Status.READ, after=1 * MS)).server
+    w.start(number, writer, after=1 * MS)
+    w.end(number, writer, Status.OK, over=True, after=1 * MS)
+
+
 def test_where_most_attempts_are_turned_away_at_once_a_request_is_not_offered_on() -> None:
     w = world(fleet(readers=8), replicas=NODES)
     offers = []
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -103,9 +103,8 @@
 
     def _arrive(self, request: Request) -> None:
         cls = self.settings.classes[request.cls]
-        answer = request.max_tokens / 2
-        if request.hint is not None and cls.token_aim:
-            answer = request.hint / cls.token_aim
+        hint = request.hint if cls.token_aim else None
+        answer = request.max_tokens / 2 if hint is None else hint / cls.token_aim
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
         flight.unread = max(request.prompt_tokens - (request.prefix_tokens if request.prefix else 0.0), 1.0)
@@ -143,15 +142,17 @@
         """Microseconds to a first token where the request would go. An idle server that it would not get
         can't hide a jam where it would; a turn at a cold one is room; waiting states show late in reports."""
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
-        queue = self._queue_us(reader) if reader else 0.0
+        queue, typical = self._queue_us(reader) if reader else 0.0, 0.0
         queue += writer.open_work * self._us_per_token(writer) if writer else 0.0
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
-        # A node with a request a second has hardly any own work open: its last reports and answers stand in.
-        typical = 0.0
-        for kind in (self.kinds[role] for role in roles):
+        # A node with a request a second has hardly any own work open: its last reports and answers stand in,
+        # and the ages of attempts out, as no answer comes of a jam; the median, lest one silent server do.
+        for role in roles:
+            kind, olds = self.kinds[role], [self._oldest(s) for s in self.fleet.ready(role) if s.role is role]
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
             told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
-            typical += fresh * (told + kind.full * flight.aim)
+            aged = self.unseen**2 * median_low([0, *(self.now - old.sent for old in olds if old)])
+            typical += max(fresh * (told + kind.full * flight.aim), aged)
         return queue if reader and self._cold_turn(reader, flight) else max(queue, typical)
 
     # -- the first stage: a reader
@@ -362,10 +363,9 @@
         if flight is None or flight.at is None:
             return
         flight.started = True
-        seat = flight.at
-        seat.streams += 1
-        if seat.off(flight):
-            self._good(seat, event.latency, flight)
+        flight.at.streams += 1
+        if flight.at.off(flight):
+            self._good(flight.at, event.latency, flight)
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         kind, read = self.kinds[seat.role], seat.role is not Role.WRITE and flight.held is None
