--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -38,6 +38,7 @@
 TYPICAL_OF = 15  # answers of one role by whose slowest fifth this node knows its pace
 TYPICAL_US = 5_000_000  # microseconds in which that pace fades, so that refusing all doesn't freeze it
 TYPICAL_WEIGHT = 0.9  # of the typical time to a first token, times the square of the part a node can't see
+AGES_POWER = 6  # of the part a node can't see, as the weight of ages: of few nodes the own queue tells more
 TRIAL_US = 700_000  # microseconds between trial sends to a blamed server, doubled at each failure, jittered
 TRIAL_GAPS = 20  # or the time of so many requests at this node, if longer: each trial is one request's delay
 TRIAL_MOST_US = 15_000_000  # but no longer: troubles last tens of seconds, and capacity is missed after them
@@ -63,7 +64,7 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
         self.random = Random(seed)
-        self.now = self.born = 0
+        self.now, self.born, self.refused_at = 0, 0, -CALM_US
         self.out: list[Action] = []
         self.fleet = Fleet(settings.roles)
         self.seats, self.asked = self.fleet.seats, Asked()
@@ -74,7 +75,6 @@
         self.gap, self.arrived_at = 0.0, 0
         self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
         self.noted: set[str] = set()
-        self.refused_at = -CALM_US
         self.acts: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Started: self._started, FleetChange: self._listed,
             ClientGone: self._client_gone, Timer: lambda _: self.out.append(Subscribe(True))}
@@ -151,7 +151,7 @@
             kind, olds = self.kinds[role], [self._oldest(s) for s in self.fleet.ready(role) if s.role is role]
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
             told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
-            aged = self.unseen**2 * median_low([0, *(self.now - old.sent for old in olds if old)])
+            aged = self.unseen**AGES_POWER * median_low([0, *(self.now - old.sent for old in olds if old)])
             typical += max(fresh * (told + kind.full * flight.aim), aged)
         return queue if reader and self._cold_turn(reader, flight) else max(queue, typical)
 
