--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -145,6 +145,9 @@
     `report_fields` names the values of a load report, of which the module reads `in_flight` (requests held,
     waiting states too), `memory_share` (0 to 1) and `tokens_waiting_k` (thousands of prompt tokens to read or
     fetch); others are ignored.
+
+    How much a server that has just started is sent follows from `slot`, `replicas` and the tenants' quotas,
+    whose sum is taken for what the whole fleet can do: each node needs a slot of its own, below `replicas`.
     """
 
     replicas: int
@@ -207,7 +210,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Server:
-    """One entry of the server list. `started_at` is 0 where the server has run for long."""
+    """One entry of the server list. `started_at` is 0 where the server has run for long, else a time
+    on the host's clock: until `Settings.cold_for` later the server counts as cold."""
 
     id: int
     kind: int
