Read-through: a role's mean size worked out once a list change, unread tokens derived, one way to queue test events

Fleet.share summed the sizes of all servers for each candidate of each request while one was cold; it is kept until the list changes, like the sums beside it. Flight.unread was state that follows from the request: a property now.

--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -66,14 +66,15 @@
         while at < START + COLD_FOR:
             at += self.random.expovariate(rate / S)
             self.at(int(at), lambda: self.ask(self.random.randrange(len(self.nodes))))
-        for slot in range(nodes):
-            self.each(START + 300 * MS + slot, self.tell, slot, YOUNG)
+        self.list_changes(START + 300 * MS, YOUNG)
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        heapq.heappush(self.queue, (when, next(self.order), what))
+    def at(self, when: int, what: Callable[..., None], *given: object) -> None:
+        heapq.heappush(self.queue, (when, next(self.order), lambda: what(*given)))
 
-    def each(self, when: int, what: Callable[..., None], *given: object) -> None:
-        self.at(when, lambda: what(*given))
+    def list_changes(self, when: int, servers: list[Server]) -> None:
+        """Each node is told of it, one after another."""
+        for slot in range(len(self.nodes)):
+            self.at(when + slot, self.tell, slot, servers)
 
     def begin(self, slot: int, servers: list[Server]) -> World:
         """A node that knows nothing but its last list."""
@@ -164,15 +165,13 @@
 def test_no_cold_server_takes_the_place_of_peers_that_are_gone(service: Service) -> None:
     gone = [replace(s, state=ServerState.GONE) for s in BEFORE if s.id not in (2, 12)]
     service.gone = {s.id for s in gone}
-    for slot in range(len(service.nodes)):
-        service.each(START + 2 * S + slot, service.tell, slot, gone)
+    service.list_changes(START + 2 * S, gone)
     assert service.run().kept()
 
 
 def test_all_peers_gone_leave_a_cold_server_its_own_part_and_no_more(service: Service) -> None:
     gone = [replace(s, state=ServerState.GONE) for s in BEFORE]
-    for slot in range(len(service.nodes)):
-        service.each(START + 2 * S + slot, service.tell, slot, gone)
+    service.list_changes(START + 2 * S, gone)
     assert service.run().kept()
     assert sum(map(len, service.sent.values())) >= 10, "there is no one else to do it"
 
@@ -180,16 +179,16 @@
 def test_nodes_restarted_in_mid_warm_up_start_no_new_budget(service: Service) -> None:
     for slot in range(len(service.nodes)):
         for wave in (2, 4, 6, 8):
-            service.each(START + wave * S + 700 * MS * slot // len(service.nodes), service.restart, slot)
+            service.at(START + wave * S + 700 * MS * slot // len(service.nodes), service.restart, slot)
     assert service.run().kept()
 
 
 def test_all_nodes_restarted_at_once_each_with_a_batch_start_no_new_budget(service: Service) -> None:
     for slot in range(len(service.nodes)):
         for wave in (2, 5, 8):
-            service.each(START + wave * S, service.restart, slot)
+            service.at(START + wave * S, service.restart, slot)
             for _ in range(5):
-                service.each(START + wave * S + 10 * MS, service.ask, slot)
+                service.at(START + wave * S + 10 * MS, service.ask, slot)
     assert service.run().kept()
 
 
@@ -197,12 +196,12 @@
     service.full = True  # half of all attempts are turned away, and tried again at once
     for slot in range(len(service.nodes)):
         for _ in range(20):
-            service.each(START + 3 * S, service.ask, slot)
+            service.at(START + 3 * S, service.ask, slot)
     assert service.run().kept()
 
 
 def test_a_heavy_class_is_counted_by_its_weight(service: Service) -> None:
-    service.at(START, lambda: setattr(service, "heavy", 0.9))
+    service.at(START, setattr, service, "heavy", 0.9)
     assert service.run().kept()
 
 
@@ -224,7 +223,7 @@
     service = Service(40, rate=0.05 * QUOTA)
     for slot in range(40):
         for k in range(40):
-            service.each(START + since * S + 50 * MS * k + slot, service.ask, slot)
+            service.at(START + since * S + 50 * MS * k + slot, service.ask, slot)
     assert service.run().kept()
     assert sum(map(len, service.sent.values())) >= 10
 
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -78,6 +78,7 @@
         self.acts: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Started: self._started, FleetChange: self._listed,
             ClientGone: self._client_gone, Timer: lambda _: self.out.append(Subscribe(True))}
+        self.has_depth = "in_flight" in settings.report_fields
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
 
@@ -107,7 +108,6 @@
         answer = request.max_tokens / 2 if hint is None else hint / cls.token_aim
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
-        flight.unread = max(request.prompt_tokens - (request.prefix_tokens if request.prefix else 0.0), 1.0)
         self.flights[request.id] = flight
         self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING)
         worth = cls.worth * (self.settings.over_share_worth if self._over_share(request) else 1.0)
@@ -188,7 +188,7 @@
     def _depth(self, seat: Seat) -> float:
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
         count as its reports count them, since each read there slows all of them."""
-        own = seat.streams if seat.role is Role.BOTH and "in_flight" not in self.settings.report_fields else 0
+        own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
         return seat.depth * self._fresh(seat) + len(seat.open) + own
 
     def _queue_us(self, seat: Seat) -> float:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -169,13 +169,17 @@
     """A final answer was given, or the client has left; only outcomes are awaited."""
     effect: tuple[int, Server] | None = None
     """When and where the first attempt was sent that may have run."""
-    unread: float = 1.0
-    """Tokens of the prompt that a reader is not likely to have kept."""
     silences: int = 0
     """Attempts of this stage that ended by their own time-out."""
     tried: list[int] = field(default_factory=list)
     """Servers that turned this request away or failed it."""
 
+    @property
+    def unread(self) -> float:
+        """Tokens of the prompt that a reader is not likely to have kept."""
+        shared = self.request.prefix_tokens if self.request.prefix else 0.0
+        return max(self.request.prompt_tokens - shared, 1.0)
+
 
 class Fleet:
     """The server list as this node was last told it; what follows from it is worked out once a change."""
@@ -188,12 +192,14 @@
         self._ready: dict[Role, list[Seat]] = {}
         self._parts: dict[tuple[Role, int | None], float] = {}
         self._most = {Role.READ: 0, Role.WRITE: 0}
+        self._means: dict[Role, float] = {}
 
     def apply(self, change: FleetChange) -> None:
         """Take a change, or a whole list, in which what isn't named has gone."""
         self.orders.clear()
         self._ready.clear()
         self._parts.clear()
+        self._means.clear()
         if change.kind is not ListKind.DELTA:
             named = {server.id for server in change.servers}
             for seat in self.seats.values():
@@ -232,9 +238,11 @@
     def share(self, seat: Seat) -> float:
         """The part that a ready server is of all that do its stage, by its listed size within its role and
         the most of them ever listed here: it doesn't grow when others go. A mixed server does both stages."""
-        sizes = [s.info.weight for s in self.seats.values() if s.role is seat.role]
+        if seat.role not in self._means:
+            sizes = [s.info.weight for s in self.seats.values() if s.role is seat.role]
+            self._means[seat.role] = (sum(sizes) or 1.0) / len(sizes)
         most = max(n for role, n in self._most.items() if seat.role in (role, Role.BOTH))
-        return seat.info.weight * len(sizes) / (sum(sizes) or 1.0) / most
+        return seat.info.weight / self._means[seat.role] / most
 
 
 class Asked:
