--- /dev/null
+++ b/tuliptrack/cli/lab.py
@@ -0,0 +1,61 @@
+"""`tuliptrack lab`: stand-in engines and scripted days."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import signal
+from typing import IO
+
+import click
+
+from tuliptrack.cli.errors import BadFile
+from tuliptrack.cli.logs import set_up
+from tuliptrack.config.textformat import ConfigError, read_file
+from tuliptrack.lab.engine import Engine
+from tuliptrack.proto import config_pb2, lab_pb2
+
+__all__ = ["lab"]
+
+
+@click.group()
+def lab() -> None:
+    """The laboratory: stand-in engines and scripted days."""
+
+
+@lab.command()
+@click.option("--role", type=click.Choice(["READ", "WRITE", "BOTH"]), help="Role, where no model file tells it.")
+@click.option("--model", type=click.Path(), help="EngineModel in text format.")
+@click.option("--listen", default="127.0.0.1:0", help="host:port; port 0: the kernel chooses.")
+@click.option("--name", default="engine")
+@click.option("--log", "log_path", type=click.Path(), help="File for what is seen on the sockets.")
+@click.option("--cold", is_flag=True, help="Start cold, as the model tells it.")
+def engine(role: str | None, model: str | None, listen: str, name: str, log_path: str | None, cold: bool) -> None:
+    """Run a stand-in engine until SIGTERM; prints one JSON line with its address."""
+    made = lab_pb2.EngineModel()
+    if model:
+        try:
+            made, located = read_file(model, lab_pb2.EngineModel)
+            located.check()
+        except ConfigError as error:
+            raise BadFile(str(error)) from None
+    if role:
+        made.role = config_pb2.RoleName.Value(role)  # type: ignore[assignment]  # stubs disagree on enums
+    if not made.role:
+        raise click.UsageError("--role or a model with a role is needed")
+    set_up(json_lines=False, quiet=True)
+    with open(log_path, "a") if log_path else contextlib.nullcontext() as seen:
+        asyncio.run(_engine(name, made, listen, seen, cold))
+
+
+async def _engine(name: str, model: lab_pb2.EngineModel, listen: str, file: IO[str] | None, cold: bool) -> None:
+    one = Engine(name, model, file, cold)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    host, _, port = listen.rpartition(":")
+    address = await one.start(host, int(port))
+    print(json.dumps({"address": address}), flush=True)
+    await stop.wait()
+    await one.stop()
--- /dev/null
+++ b/tuliptrack/cli/main.py
@@ -0,0 +1,24 @@
+"""`tuliptrack`: the command line; each sub-command in a file of its own."""
+
+from __future__ import annotations
+
+import click
+
+from tuliptrack.cli.call import call
+from tuliptrack.cli.config import config
+from tuliptrack.cli.lab import lab
+from tuliptrack.cli.serve import serve
+
+__all__ = ["main"]
+
+
+@click.group()
+@click.version_option(package_name="tuliptrack")
+def main() -> None:
+    """A router for language-model serving with separate readers and writers."""
+
+
+main.add_command(serve)
+main.add_command(config)
+main.add_command(call)
+main.add_command(lab)
--- /dev/null
+++ b/tuliptrack/cli/serve.py
@@ -0,0 +1,49 @@
+"""`tuliptrack serve`: run a node until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+
+import click
+
+from tuliptrack.cli.errors import load_config
+from tuliptrack.cli.logs import set_up
+from tuliptrack.config.node import NodeConfig
+from tuliptrack.node.node import Node
+
+__all__ = ["serve"]
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--ready", is_flag=True, help="Print one JSON line with the address on standard output once serving.")
+def serve(file: str, ready: bool) -> None:
+    """Serve with the settings in FILE. SIGTERM or SIGINT: drain, refuse, end; a second one: end now."""
+    found = load_config(file)
+    set_up(found.json_log)
+    try:
+        asyncio.run(_run(found, ready))
+    except OSError as error:
+        raise click.ClickException(f"{found.listen}: {error.strerror or error}") from None
+
+
+async def _run(found: NodeConfig, ready: bool) -> None:
+    node = Node(found)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, stop.set)
+    address = await node.start()
+    if ready:
+        click.echo(json.dumps({"address": address, "instance": node.instance}))
+    await stop.wait()
+    stop.clear()
+    ending = loop.create_task(node.stop())
+    again = loop.create_task(stop.wait())
+    await asyncio.wait({ending, again}, return_when=asyncio.FIRST_COMPLETED)
+    if not ending.done():
+        node.server.cut_short()
+    again.cancel()
+    await ending
--- /dev/null
+++ b/tuliptrack/config/node.py
@@ -0,0 +1,271 @@
+"""A node's settings: read from text format, checked whole, given as the records that the program uses.
+
+Each default stands once, in the table beside its field, and again in words in `config.proto`; a test holds
+the two together.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from google.protobuf.message import Message
+
+from tuliptrack.config.textformat import Located, read_file, read_text
+from tuliptrack.interface import Effect, KeyScope, RequestClass, Role, Settings, Tenant
+from tuliptrack.proto import config_pb2 as pb
+
+__all__ = ["EngineOptions", "NodeConfig", "NodeLimits", "SourceOptions", "load", "parse"]
+
+DEFAULTS: dict[str, dict[str, Any]] = {
+    "Node": {"listen": "127.0.0.1:7400", "slot": 0, "replicas": 1, "zone": 0, "seed": 0, "shutdown_grace_ms": 10000,
+             "log_format": pb.JSON},
+    "RequestClassConfig": {"worth": 1, "aim_per_1000_tokens_ms": 0, "token_aim_ms": 0, "late_share": 0,
+                           "effect": pb.SAFE, "key_scope": pb.ALL, "dedup_window_ms": 0},
+    "KindConfig": {"memory_tokens": 0},
+    "TenantConfig": {"share": 0},
+    "Routing": {"max_attempts": 4, "over_share_worth": 0.1, "release_within_ms": 300, "drain_grace_ms": 500,
+                "cold_for_ms": 12000, "cold_from": 0.25, "fall_multiple": 2.5, "fall_window_ms": 3000,
+                "writers_read": True, "may_resume": True, "max_retry_after_ms": 500, "far_price": 0},
+    "ServerSource": {"cache": "", "poll_ms": 100},
+    "Limits": {"open_requests": 20000, "connections": 4096, "streams_per_connection": 2000, "message_bytes": 4194304,
+               "header_bytes": 16384, "tokens": 1048576, "bytes_per_token": 4, "answer_bytes": 32768,
+               "answer_ahead_ms": 50, "client_stall_ms": 30000},
+    "Engines": {"connect_timeout_ms": 250, "keepalive_after_ms": 10000, "keepalive_timeout_ms": 5000,
+                "connections": 4, "token_silence_ms": 15000, "idle_ms": 60000},
+}
+"""Defaults by message and field, in the file's units."""
+
+REPORT_FIELDS = ("in_flight", "memory_share", "tokens_waiting_k")
+"""What the node makes of an engine's ORCA report; the order in which the router gets it."""
+
+_LONGEST_MS = 86_400_000.0  # a day: longer times are taken for a mistake of units
+_EFFECTS = {pb.SAFE: Effect.SAFE, pb.KEYED: Effect.KEYED, pb.UNSAFE: Effect.UNSAFE}
+_SCOPES = {pb.ALL: KeyScope.ALL, pb.ZONE: KeyScope.ZONE, pb.CELL: KeyScope.CELL}
+_ROLES = {pb.READ: Role.READ, pb.WRITE: Role.WRITE, pb.BOTH: Role.BOTH}
+
+
+@dataclass(frozen=True)
+class NodeLimits:
+    """Bounds of a node; sizes in bytes, counts of requests, connections and tokens."""
+
+    open_requests: int = 20_000
+    connections: int = 4_096
+    streams_per_connection: int = 2_000
+    message_bytes: int = 4_194_304
+    header_bytes: int = 16_384
+    tokens: int = 1_048_576
+    bytes_per_token: float = 4.0
+    answer_bytes: int = 32_768
+    answer_ahead: int = 50_000
+    """Microseconds."""
+    client_stall: int = 30_000_000
+    """Microseconds."""
+
+
+@dataclass(frozen=True)
+class EngineOptions:
+    """Times and bounds towards engines; microseconds."""
+
+    connect_timeout: int = 250_000
+    keepalive_after: int = 10_000_000
+    keepalive_timeout: int = 5_000_000
+    connections: int = 4
+    token_silence: int = 15_000_000
+    idle: int = 60_000_000
+
+
+@dataclass(frozen=True)
+class SourceOptions:
+    """Where the server list comes from: a file, a feed's address, or neither; `cache` may be empty."""
+
+    file: str = ""
+    feed: str = ""
+    cache: str = ""
+    poll: int = 100_000
+    """Microseconds."""
+
+
+@dataclass(frozen=True)
+class NodeConfig:
+    """All that a node is told at its start."""
+
+    settings: Settings
+    kinds: tuple[str, ...]
+    """Names of the kinds of server, in the order of `settings.roles`."""
+    listen: str = "127.0.0.1:7400"
+    seed: int = 0
+    shutdown_grace: int = 10_000_000
+    """Microseconds."""
+    json_log: bool = True
+    peers: tuple[str, ...] = ()
+    limits: NodeLimits = field(default_factory=NodeLimits)
+    engines: EngineOptions = field(default_factory=EngineOptions)
+    source: SourceOptions = field(default_factory=SourceOptions)
+
+
+def load(path: str | Path) -> NodeConfig:
+    """Read a file; ConfigError with every problem at once."""
+    return _build(*read_file(path, pb.Config))
+
+
+def parse(text: str) -> NodeConfig:
+    """Read text; ConfigError with every problem at once."""
+    return _build(*read_text(text, pb.Config))
+
+
+class _Block:
+    """One block of the file: values with their defaults, each checked where it is asked for."""
+
+    def __init__(self, message: Message, path: str, located: Located) -> None:
+        self.message, self.path, self.located = message, path, located
+        self.defaults = DEFAULTS[message.DESCRIPTOR.name]
+
+    def wrong(self, name: str, reason: str) -> None:
+        self.located.problem(f"{self.path}.{name}", reason)
+
+    def value(self, name: str) -> Any:
+        if self.message.HasField(name):
+            return getattr(self.message, name)
+        if name not in self.defaults:
+            self.wrong(name, "is required")
+            return None
+        return self.defaults[name]
+
+    def number(self, name: str, least: float, most: float, above: bool = False) -> float:
+        value = self.value(name)
+        if value is None:
+            return 1.0
+        if not math.isfinite(value) or not (value > least if above else value >= least) or value > most:
+            sign = "above" if above else "at least"
+            self.wrong(name, f"must be {sign} {least:g} and at most {most:g}, is {value:g}")
+            return max(least, 1.0)
+        return float(value)
+
+    def count(self, name: str, least: int, most: int) -> int:
+        return int(self.number(name, least, most))
+
+    def time(self, name: str, above: bool = False) -> int:
+        """Microseconds of a time that the file gives in milliseconds."""
+        return round(self.number(name, 0, _LONGEST_MS, above) * 1000)
+
+
+def _names(blocks: Iterable[_Block]) -> tuple[str, ...]:
+    seen: dict[str, str] = {}
+    names = []
+    for block in blocks:
+        name = block.message.name  # type: ignore[attr-defined]
+        if not name:
+            block.wrong("name", "is required")
+        elif name in seen:
+            block.wrong("name", f"{name!r} is taken by {seen[name]}")
+        seen.setdefault(name, block.path)
+        names.append(name)
+    return tuple(names)
+
+
+def _address(block: _Block, name: str, value: str, any_port: bool = False) -> str:
+    host, sign, port = value.rpartition(":")
+    if not sign or not host or not port.isdigit() or not (0 if any_port else 1) <= int(port) <= 65_535:
+        block.wrong(name, f"must be host:port, is {value!r}")
+    return value
+
+
+def _build(file: pb.Config, located: Located) -> NodeConfig:
+    def block(message: Message, path: str) -> _Block:
+        return _Block(message, path, located)
+
+    node, routing = block(file.node, "node"), block(file.routing, "routing")
+    classes = [block(c, f"request_class[{i}]") for i, c in enumerate(file.request_class)]
+    kinds = [block(k, f"kind[{i}]") for i, k in enumerate(file.kind)]
+    tenants = [block(t, f"tenant[{i}]") for i, t in enumerate(file.tenant)]
+    if not classes:
+        located.problem("request_class", "at least one is needed")
+    if not kinds:
+        located.problem("kind", "at least one is needed")
+    class_names, kind_names, tenant_names = _names(classes), _names(kinds), _names(tenants)
+    replicas, slot = node.count("replicas", 1, 100_000), node.count("slot", 0, 100_000)
+    if slot >= replicas:
+        node.wrong("slot", f"must be below replicas ({replicas}), is {slot}")
+    request_classes = tuple(_request_class(c, name) for c, name in zip(classes, class_names, strict=True))
+    roles = tuple(_role(k) for k in kinds)
+    for role in (Role.READ, Role.WRITE):
+        if roles and not {role, Role.BOTH} & set(roles):
+            located.problem("kind", f"none has the role {role.name} or BOTH")
+    shares = [t.number("share", 0, 1) for t in tenants]
+    if sum(shares) > 1 + 1e-9:
+        located.problem("tenant", f"the shares add up to {sum(shares):g}, 1 at most")
+    source = _source(block(file.servers, "servers"), file.servers)
+    limits = _limits(block(file.limits, "limits"))
+    engines = block(file.engines, "engines")
+    kept = dict(
+        replicas=replicas, slot=slot, zone=node.count("zone", 0, 65_535),
+        memory_tokens=tuple(k.number("memory_tokens", 0, 1e12) for k in kinds),
+        tenants=tuple(Tenant(name, share, t.number("quota_per_s", 0, 1e9))
+                      for t, name, share in zip(tenants, tenant_names, shares, strict=True)),
+        max_attempts=routing.count("max_attempts", 1, 100),
+        over_share_worth=routing.number("over_share_worth", 0, 1),
+        release_within=routing.time("release_within_ms", above=True), drain_grace=routing.time("drain_grace_ms"),
+        cold_for=routing.time("cold_for_ms"), cold_from=routing.number("cold_from", 0, 1, above=True),
+        fall_multiple=routing.number("fall_multiple", 0, 1e6, above=True),
+        fall_window=routing.time("fall_window_ms", above=True), writers_read=bool(routing.value("writers_read")),
+        may_resume=bool(routing.value("may_resume")), max_retry_after=routing.time("max_retry_after_ms"),
+        far_price=routing.number("far_price", 0, 1e6), connect_timeout=engines.time("connect_timeout_ms", above=True))
+    options = EngineOptions(
+        connect_timeout=engines.time("connect_timeout_ms", above=True),
+        keepalive_after=engines.time("keepalive_after_ms", above=True),
+        keepalive_timeout=engines.time("keepalive_timeout_ms", above=True),
+        connections=engines.count("connections", 1, 1000), token_silence=engines.time("token_silence_ms", above=True),
+        idle=engines.time("idle_ms"))
+    listen = _address(node, "listen", node.value("listen"), any_port=True)
+    peers = tuple(_address(node, "peer", peer) for peer in file.node.peer)
+    grace = node.time("shutdown_grace_ms")
+    located.check()
+    settings = Settings(classes=request_classes, roles=roles, may_cancel=True, may_probe=True, may_hold_ahead=True,
+                        may_advise_retry=True, report_fields=REPORT_FIELDS, must_subscribe=bool(source.feed),
+                        **kept)  # type: ignore[arg-type]
+    return NodeConfig(settings, kind_names, listen, int(node.value("seed")), grace,
+                      node.value("log_format") == pb.JSON, peers, limits, options, source)
+
+
+def _request_class(c: _Block, name: str) -> RequestClass:
+    aim, deadline = c.time("aim_ms", above=True), c.time("deadline_ms", above=True)
+    if deadline < aim:
+        c.wrong("deadline_ms", f"must be at least aim_ms ({aim / 1000:g}), is {deadline / 1000:g}")
+    effect = _EFFECTS[c.value("effect")]
+    window = c.time("dedup_window_ms")
+    if effect is Effect.KEYED and not window:
+        c.wrong("dedup_window_ms", "is required where effect is KEYED")
+    return RequestClass(
+        name or "?", worth=c.number("worth", 0, 1e9, above=True), aim=max(aim, 1), deadline=max(deadline, 1),
+        aim_per_1000_tokens=float(c.time("aim_per_1000_tokens_ms")), token_aim=float(c.time("token_aim_ms")),
+        late_share=c.number("late_share", 0, 1), effect=effect, key_scope=_SCOPES[c.value("key_scope")],
+        dedup_window=window)
+
+
+def _role(k: _Block) -> Role:
+    role = k.value("role")
+    if role == pb.ROLE_UNSPECIFIED:
+        k.wrong("role", "must be READ, WRITE or BOTH")
+    return _ROLES.get(role, Role.BOTH)
+
+
+def _source(s: _Block, message: pb.ServerSource) -> SourceOptions:
+    feed, file = message.feed, message.file
+    if not feed and not file:
+        s.wrong("file", "is required where feed is not set")
+    if feed:
+        _address(s, "feed", feed)
+    return SourceOptions(file, feed, s.value("cache"), s.time("poll_ms", above=True))
+
+
+def _limits(b: _Block) -> NodeLimits:
+    return NodeLimits(
+        b.count("open_requests", 1, 10_000_000), b.count("connections", 1, 1_000_000),
+        b.count("streams_per_connection", 1, 1_000_000), b.count("message_bytes", 1024, 2**31 - 1),
+        b.count("header_bytes", 1024, 2**24), b.count("tokens", 1, 2**40),
+        b.number("bytes_per_token", 0, 1000, above=True), b.count("answer_bytes", 1024, 2**31 - 1),
+        b.time("answer_ahead_ms"), b.time("client_stall_ms", above=True))
--- /dev/null
+++ b/tuliptrack/fronts/generation.py
@@ -0,0 +1,70 @@
+"""The front of `tuliptrack.v1.Generation`: requests in, token streams out, codes as `docs/operate/grpc.md` lists."""
+
+from __future__ import annotations
+
+from google.rpc import error_details_pb2
+
+from tuliptrack.fronts.port import Ask, AskError, Core, Failure, Finish, Ticket, Usage
+from tuliptrack.proto import generation_pb2 as pb
+from tuliptrack.rpc.server import Server, ServerCall, unary_request
+from tuliptrack.rpc.status import Code, Status, refusal_details, with_details
+
+__all__ = ["SERVICE", "install"]
+
+SERVICE = "tuliptrack.v1.Generation"
+_FINISH = {Finish.STOP: pb.STOP, Finish.LENGTH: pb.LENGTH}
+_CODES = {Failure.DEADLINE: Code.DEADLINE_EXCEEDED, Failure.BROKEN: Code.ABORTED, Failure.HANDED_BACK: Code.ABORTED,
+          Failure.LOST: Code.UNKNOWN, Failure.STALLED: Code.CANCELLED}
+_OK = Status(Code.OK)
+
+
+class _Stream:
+    """One call, as the core's `Answer`."""
+
+    __slots__ = ("call", "ticket")
+
+    def __init__(self, call: ServerCall) -> None:
+        self.call = call
+        self.ticket: Ticket | None = None
+
+    def token(self, index: int, text: str, finish: Finish | None, usage: Usage | None) -> bool:
+        message = pb.GenerateResponse(index=index, text=text)
+        if finish:
+            message.finish_reason = _FINISH[finish]
+        if usage:
+            message.usage.prompt_tokens = usage.prompt_tokens
+            message.usage.cached_tokens = usage.cached_tokens
+            message.usage.completion_tokens = usage.completion_tokens
+        return self.call.send(message.SerializeToString())
+
+    def served(self) -> None:
+        self.call.end(_OK)
+
+    def refused(self, reason: str, retry_after: int) -> None:
+        self.call.end(with_details(Code.UNAVAILABLE, f"refused: {reason}; trying again is harmless",
+                                   *refusal_details("REFUSED", retry_after, reason=reason)))
+
+    def failed(self, how: Failure, reason: str, next_index: int) -> None:
+        facts = {"reason": reason, "next_index": str(next_index)}
+        info = error_details_pb2.ErrorInfo(reason=how.name, domain="tuliptrack", metadata=facts)
+        self.call.end(with_details(_CODES[how], f"failed: {reason}", info))
+
+
+def install(server: Server, core: Core) -> None:
+    """Serve the protocol on this server, for this core."""
+
+    def generate(call: ServerCall, request: pb.GenerateRequest) -> None:
+        ask = Ask(request.request_class, request.prompt, request.tenant, request.session, request.prefix,
+                  request.prompt_tokens, request.prefix_tokens, request.max_tokens, request.resume.next_index,
+                  request.resume.text, request.repeat, call.deadline)
+        stream = _Stream(call)
+        try:
+            ticket = stream.ticket = core.submit(ask, stream)
+        except AskError as error:
+            bad = error_details_pb2.BadRequest()
+            bad.field_violations.add(field=error.field, description=error.reason)
+            call.end(with_details(Code.INVALID_ARGUMENT, str(error), bad))
+            return
+        call.on_gone, call.on_writable = ticket.gone, ticket.writable
+
+    server.add(SERVICE, "Generate", unary_request(pb.GenerateRequest, generate))
--- /dev/null
+++ b/tuliptrack/fronts/port.py
@@ -0,0 +1,103 @@
+"""What a front and the core say to each other. A front turns its protocol's words into an `Ask` and carries
+an `Answer` out to its client; it decides nothing. The core knows no front.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+__all__ = ["Answer", "Ask", "AskError", "Core", "Failure", "Finish", "Ticket", "Usage"]
+
+
+class AskError(Exception):
+    """A request that can't be taken; nothing was done for it."""
+
+    def __init__(self, field: str, reason: str) -> None:
+        super().__init__(f"{field}: {reason}")
+        self.field, self.reason = field, reason
+
+
+@dataclass(slots=True)
+class Ask:
+    """A client's request, as every front puts it. Counts are tokens; 0 stands for 'not told'."""
+
+    request_class: str
+    prompt: str
+    tenant: str = ""
+    session: str = ""
+    prefix: str = ""
+    prompt_tokens: int = 0
+    prefix_tokens: int = 0
+    max_tokens: int = 0
+    resume_index: int = 0
+    """Tokens of the answer that the client has from a stream that broke."""
+    resume_text: str = ""
+    repeat: bool = False
+    deadline: int | None = None
+    """When the client gives up the whole call, monotonic microseconds; None: it waits."""
+
+
+class Finish(Enum):
+    """Why an answer ended."""
+
+    STOP = "stop"
+    LENGTH = "length"
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Tokens of one served stream."""
+
+    prompt_tokens: int
+    cached_tokens: int
+    completion_tokens: int
+
+
+class Failure(Enum):
+    """How a request failed. None of these promises that it has not run."""
+
+    DEADLINE = "deadline"
+    """No first token, or no last one, by the client's deadline."""
+    BROKEN = "broken"
+    """A stream that had begun broke; it can be resumed from its next token."""
+    HANDED_BACK = "handed back"
+    """A stream that had begun is given back for the client to resume elsewhere."""
+    LOST = "lost"
+    """An attempt ended with no word on whether it had run."""
+    STALLED = "stalled"
+    """The client has left its answer unread for too long."""
+
+
+class Answer(Protocol):
+    """A front's side of one request. Exactly one of the last three is called, once, unless the client left."""
+
+    def token(self, index: int, text: str, finish: Finish | None, usage: Usage | None) -> bool:
+        """The next token; `finish` and `usage` with the last. False asks to pause until `Ticket.writable`."""
+
+    def served(self) -> None:
+        """All was sent."""
+
+    def refused(self, reason: str, retry_after: int) -> None:
+        """Not served, and trying again is harmless, after so many microseconds."""
+
+    def failed(self, how: Failure, reason: str, next_index: int) -> None:
+        """Not served whole; `next_index` is where a resumed stream would go on."""
+
+
+class Ticket(Protocol):
+    """The core's side of one request."""
+
+    def gone(self, reason: str) -> None:
+        """The client has left; nothing more is owed."""
+
+    def writable(self) -> None:
+        """The client has taken enough to be sent more."""
+
+
+class Core(Protocol):
+    """What takes requests."""
+
+    def submit(self, ask: Ask, answer: Answer) -> Ticket:
+        """Take a request; AskError where it can't be one. The answer may begin before this returns."""
--- /dev/null
+++ b/tuliptrack/node/requests.py
@@ -0,0 +1,150 @@
+"""The node's table of requests: what state each is in, and the one place where a request's end is decided.
+
+    TAKEN ──▶ READING ──▶ HELD ──▶ WRITING ──▶ STREAMING ──▶ SERVED
+      │          │  ▲        │        │  ▲          │
+      │          ▼  │        │        ▼  │          │
+      │         between attempts (TAKEN or HELD)    │
+      └──────────┴──────────┴─────────┴─────────────┴──▶ REFUSED, FAILED, LEFT
+
+TAKEN: no attempt out, nothing held. READING: an attempt at a reader is out. HELD: a read state waits, no
+attempt out. WRITING: an attempt at a writer (or mixed server) is out and has not answered. STREAMING: its first
+token has come. The four ends are final: `end` lets a request into one of them once and says whether it did. An
+attempt may still be out then; the record stays until its outcome is known.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tuliptrack.fronts.port import Answer, Ask, Finish
+from tuliptrack.rpc.channel import ClientCall
+
+__all__ = ["Attempt", "Held", "Record", "State", "Table"]
+
+
+class State(Enum):
+    """See the module's text."""
+
+    TAKEN = "taken"
+    READING = "reading"
+    HELD = "held"
+    WRITING = "writing"
+    STREAMING = "streaming"
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+_ENDS = frozenset({State.SERVED, State.REFUSED, State.FAILED, State.LEFT})
+_CUT = frozenset({State.REFUSED, State.FAILED, State.LEFT})
+LEGAL: dict[State, frozenset[State]] = {
+    State.TAKEN: frozenset({State.READING, State.WRITING}) | _CUT,
+    State.READING: frozenset({State.TAKEN, State.HELD}) | _CUT,
+    State.HELD: frozenset({State.READING, State.WRITING}) | _CUT,
+    State.WRITING: frozenset({State.TAKEN, State.HELD, State.STREAMING}) | _CUT,
+    State.STREAMING: _ENDS - {State.REFUSED},
+    State.SERVED: frozenset(), State.REFUSED: frozenset(), State.FAILED: frozenset(), State.LEFT: frozenset(),
+}
+"""From each state, the states that may follow."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt that is out."""
+
+    number: int
+    server: int
+    sent: int
+    """Monotonic microseconds."""
+    call: ClientCall | None = None
+    reading: bool = False
+    """It is out at a reader."""
+    cut_at_due: bool = False
+    """Its time-out is the client's deadline, not the router's own."""
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True)
+class Held:
+    """A read state that waits at a reader."""
+
+    server: int
+    state_id: str
+    address: str
+
+
+@dataclass(slots=True)
+class Record:
+    """One request from arrival until its end is told and no attempt is out."""
+
+    id: int
+    ask: Ask
+    answer: Answer
+    due: int
+    """Monotonic microseconds by which a first token, or a final answer, is owed."""
+    taken_at: int
+    state: State = State.TAKEN
+    attempts: int = 0
+    out: Attempt | None = None
+    held: Held | None = None
+    holding: int | None = None
+    """The server at which a place was asked for."""
+    next_index: int = 0
+    cached_tokens: int = 0
+    finish: Finish | None = None
+    first_token_at: int = 0
+    heard_at: int = 0
+    """When the last token came."""
+    paused_at: int = 0
+    """Since when the client has taken no more; 0: it takes."""
+    reason: str = ""
+    servers: list[int] = field(default_factory=list)
+
+    @property
+    def ended(self) -> bool:
+        return self.state in _ENDS
+
+    def go(self, state: State) -> None:
+        """Enter a state; RuntimeError where it may not follow."""
+        if state not in LEGAL[self.state]:
+            raise RuntimeError(f"request {self.id}: {self.state.value} may not be followed by {state.value}")
+        self.state = state
+
+    def end(self, state: State, reason: str) -> bool:
+        """Enter an end; False where the request had ended."""
+        if self.ended:
+            return False
+        self.go(state)
+        self.reason = reason
+        return True
+
+
+class Table:
+    """Every request of the node. Bound: `most`; when full, `take` says no."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.open: dict[int, Record] = {}
+        self.ends: dict[State, int] = dict.fromkeys(_ENDS, 0)
+        self.turned_away = 0
+        self._next = 1
+
+    def full(self) -> bool:
+        return len(self.open) >= self.most
+
+    def take(self, ask: Ask, answer: Answer, due: int, now: int) -> Record:
+        record = Record(self._next, ask, answer, due, now, next_index=ask.resume_index)
+        self._next += 1
+        self.open[record.id] = record
+        return record
+
+    def settle(self, record: Record) -> bool:
+        """Drop a request that has ended and has no attempt out; True where it was dropped now."""
+        if record.ended and record.out is None and record.id in self.open:
+            del self.open[record.id]
+            self.ends[record.state] += 1
+            return True
+        return False
--- /dev/null
+++ b/tuliptrack/rpc/core.py
@@ -0,0 +1,750 @@
+"""The state of one gRPC connection, client's or server's side, with no I/O: bytes in, events out.
+
+`receive(data, now)` takes what the socket gave and returns events; `take()` returns what is to be written.
+HTTP/2 frames and their states are h2's; here are calls, messages, statuses, flow control by what the
+application has taken, and limits on what a peer may cause. Source: gRPC PROTOCOL-HTTP2, RFC 9113.
+
+Bounds: received messages wait in no queue here, but go out as events; a call whose application has paused
+it gets at most one stream window more. What is to be sent waits by call until the peer's windows take it;
+`send` tells when that is more than `Limits.pending_high`, and `Writable` when it has fallen again. Where
+a peer makes control frames faster than `Limits` allow, the connection is ended with ENHANCE_YOUR_CALM.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import h2.connection
+import h2.events
+import h2.exceptions
+from h2.config import H2Configuration
+from h2.errors import ErrorCodes
+from h2.settings import SettingCodes, Settings
+from hyperframe.frame import Frame, GoAwayFrame, PingFrame
+
+from tuliptrack.rpc.status import (
+    Code,
+    Metadata,
+    Status,
+    decode_binary,
+    decode_message,
+    decode_timeout,
+    encode_binary,
+    encode_message,
+    encode_timeout,
+    from_http,
+    from_reset,
+)
+
+__all__ = ["Broken", "CallEnded", "CallHeaders", "CallStarted", "Cancelled", "Core", "Event", "GoAway", "HalfClosed",
+           "Limits", "MessageReceived", "Pong", "Writable"]
+
+_LAST_STREAM = 2**31 - 1
+_PREFIX = 5  # bytes before each message: a flag and a length
+_DRAIN_PING = b"drained?"
+_RESERVED = {"te", "content-type", "user-agent", "host", "connection"}
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What one connection may hold, and what its peer may cause. Sizes in bytes."""
+
+    max_streams: int = 2_000
+    """Calls that the peer may have open at once."""
+    max_header_bytes: int = 16_384
+    max_message_bytes: int = 4_194_304
+    """Of one message, after decompression."""
+    stream_window: int = 65_535
+    """What may arrive for one call beyond what its application has taken."""
+    connection_window: int = 4_194_304
+    pending_high: int = 32_768
+    """What may wait to be sent in one call before `send` asks its caller to stop."""
+    pending_low: int = 8_192
+    control_burst: int = 400
+    """Pings, settings, empty frames that a peer may send at once; they fill again by `control_per_s`."""
+    control_per_s: float = 40.0
+    reset_burst: int = 2_500
+    """Resets that a peer may send at once: all its calls, and some."""
+    reset_per_s: float = 100.0
+
+
+# ---------------------------------------------------------------- events
+
+
+@dataclass(slots=True)
+class CallStarted:
+    """Server: the headers of a new call have come. `timeout` in microseconds, None where none was told."""
+
+    stream: int
+    method: str
+    timeout: int | None
+    metadata: Metadata
+
+
+@dataclass(slots=True)
+class CallHeaders:
+    """Client: the answer's leading headers have come; fires at most once a call, never for trailers-only."""
+
+    stream: int
+    metadata: Metadata
+
+
+@dataclass(slots=True)
+class MessageReceived:
+    """A whole message has come, decompressed."""
+
+    stream: int
+    data: bytes
+
+
+@dataclass(slots=True)
+class HalfClosed:
+    """Server: the client will send no more messages in this call."""
+
+    stream: int
+
+
+@dataclass(slots=True)
+class Cancelled:
+    """Server: the call is over without an answer, by the client's reset or its fault. Nothing can be sent."""
+
+    stream: int
+    reason: str
+
+
+@dataclass(slots=True)
+class CallEnded:
+    """Client: the call is over. `reset` says that no status came but the stream or connection broke;
+    `unprocessed` that the peer vouches it never looked at the call."""
+
+    stream: int
+    status: Status
+    metadata: Metadata = ()
+    reset: bool = False
+    unprocessed: bool = False
+
+
+@dataclass(slots=True)
+class Writable:
+    """What waits to be sent in a call has fallen below `Limits.pending_low` after `send` said stop."""
+
+    stream: int
+
+
+@dataclass(slots=True)
+class GoAway:
+    """The peer takes no new calls on this connection; those up to `last_stream` go on."""
+
+    last_stream: int
+    error: int
+    reason: str
+
+
+@dataclass(slots=True)
+class Pong:
+    """The answer to a `ping` of ours."""
+
+    data: bytes
+
+
+@dataclass(slots=True)
+class Broken:
+    """The connection can't go on: every open call has been ended before this event."""
+
+    reason: str
+
+
+Event = (CallStarted | CallHeaders | MessageReceived | HalfClosed | Cancelled | CallEnded | Writable | GoAway | Pong
+         | Broken)
+
+
+class _Fault(Exception):
+    """One call's fault, with the status that answers it."""
+
+    def __init__(self, code: Code, message: str) -> None:
+        super().__init__(message)
+        self.status = Status(code, message)
+
+
+class _Bucket:
+    """So many at once, refilled by time (microseconds)."""
+
+    __slots__ = ("at", "left", "most", "rate")
+
+    def __init__(self, most: int, per_s: float) -> None:
+        self.most, self.rate, self.left, self.at = float(most), per_s / 1e6, float(most), 0
+
+    def take(self, now: int) -> bool:
+        self.left = min(self.most, self.left + (now - self.at) * self.rate) - 1
+        self.at = now
+        return self.left >= 0
+
+
+class _Connection(h2.connection.H2Connection):
+    """h2 ends a connection at the first GOAWAY; RFC 9113 (6.8) lets its open streams run to their end."""
+
+    def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[h2.events.Event]]:
+        event = h2.events.ConnectionTerminated()
+        event.error_code = frame.error_code
+        event.last_stream_id = frame.last_stream_id
+        event.additional_data = frame.additional_data or None
+        return [], [event]
+
+
+class _Call:
+    """One stream's state."""
+
+    __slots__ = ("answered", "buffer", "decoder", "encoder", "ending", "got_headers", "high", "local_done", "metadata",
+                 "out", "out_bytes", "paused", "remote_done", "stream", "unacked")
+
+    def __init__(self, stream: int) -> None:
+        self.stream = stream
+        self.buffer = bytearray()
+        self.out: deque[bytes] = deque()
+        self.out_bytes = 0
+        self.unacked = 0
+        self.paused = self.high = self.local_done = self.remote_done = self.answered = self.got_headers = False
+        self.ending: list[tuple[bytes, bytes]] | None = None
+        self.decoder = self.encoder = ""
+        self.metadata: Metadata = ()
+
+
+class Core:
+    """One connection. Calls are named by their stream's number."""
+
+    def __init__(self, client: bool, limits: Limits | None = None, authority: str = "", now: int = 0) -> None:
+        self.client, self.limits, self.authority = client, limits or Limits(), authority
+        self.h2 = _Connection(H2Configuration(
+            client_side=client, header_encoding=None, validate_outbound_headers=False,
+            normalize_outbound_headers=False, normalize_inbound_headers=False))
+        lim = self.limits
+        values: dict[SettingCodes, int] = {
+            SettingCodes.INITIAL_WINDOW_SIZE: lim.stream_window, SettingCodes.ENABLE_PUSH: 0,
+            SettingCodes.MAX_CONCURRENT_STREAMS: lim.max_streams,
+            SettingCodes.MAX_HEADER_LIST_SIZE: lim.max_header_bytes}
+        if not client:
+            del values[SettingCodes.ENABLE_PUSH]
+        self.h2.local_settings = Settings(client=client, initial_values=values)
+        self.h2.decoder.max_header_list_size = lim.max_header_bytes
+        self.h2.initiate_connection()
+        if lim.connection_window > 65_535:
+            self.h2.increment_flow_control_window(lim.connection_window - 65_535)
+        self.calls: dict[int, _Call] = {}
+        self.dead = False
+        self.draining = False
+        """We have told the peer, or it has told us, that no new calls are taken."""
+        self._final_goaway: int | None = None
+        self._unacked = 0
+        self._dirty: dict[int, None] = {}
+        """Calls with something to send, in the order in which they got it."""
+        self._late: list[Event] = []
+        self._extra = bytearray()
+        self._control = _Bucket(lim.control_burst, lim.control_per_s)
+        self._resets = _Bucket(lim.reset_burst, lim.reset_per_s)
+        self._control.at = self._resets.at = now
+        self._handlers: dict[type, Callable[[Any, list[Event]], None]] = {
+            h2.events.DataReceived: self._data, h2.events.RequestReceived: self._request,
+            h2.events.ResponseReceived: self._response, h2.events.TrailersReceived: self._trailers,
+            h2.events.StreamEnded: self._ended, h2.events.StreamReset: self._reset,
+            h2.events.WindowUpdated: self._window, h2.events.ConnectionTerminated: self._goaway,
+            h2.events.PingAckReceived: self._pong, h2.events.RemoteSettingsChanged: self._settings}
+
+    # -- in
+
+    def receive(self, data: bytes, now: int) -> list[Event]:
+        """Take bytes from the peer; `now` in microseconds. Never raises: what is wrong becomes an event."""
+        events: list[Event] = []
+        if self.dead:
+            return events
+        try:
+            incoming: list[Any] = self.h2.receive_data(data)
+            for event in incoming:
+                kind = type(event)
+                if kind in (h2.events.PingReceived, h2.events.RemoteSettingsChanged) or (
+                        kind is h2.events.DataReceived and not event.data and event.stream_ended is None):
+                    if not self._control.take(now):
+                        return self._break(events, ErrorCodes.ENHANCE_YOUR_CALM, "too many control frames")
+                elif kind is h2.events.StreamReset and event.remote_reset and not self._resets.take(now):
+                    return self._break(events, ErrorCodes.ENHANCE_YOUR_CALM, "too many resets")
+                handler = self._handlers.get(kind)
+                if handler:
+                    handler(event, events)
+        except h2.exceptions.ProtocolError as error:  # h2 has its own GOAWAY ready
+            code = getattr(error, "error_code", ErrorCodes.PROTOCOL_ERROR)
+            return self._break(events, code, str(error) or type(error).__name__, told=True)
+        except Exception as error:  # h2 and hpack let some of Python's own out on garbage
+            return self._break(events, ErrorCodes.PROTOCOL_ERROR, f"{type(error).__name__}: {error}")
+        if self._late:
+            events += self._late
+            self._late = []
+        return events
+
+    def lost(self, reason: str) -> list[Event]:
+        """The socket has closed or is given up: every open call ends."""
+        return [] if self.dead else self._break([], ErrorCodes.NO_ERROR, reason, told=True)
+
+    def _break(self, events: list[Event], code: int, reason: str, told: bool = False) -> list[Event]:
+        self.dead = True
+        if not told:
+            frame = GoAwayFrame(0, last_stream_id=self.h2.highest_inbound_stream_id, error_code=int(code),
+                                additional_data=reason.encode()[:200])
+            self._extra += frame.serialize()
+        for call in list(self.calls.values()):
+            self._drop(call)
+            if self.client:
+                events.append(CallEnded(call.stream, Status(Code.UNAVAILABLE, f"connection lost: {reason}"),
+                                        reset=True))
+            else:
+                events.append(Cancelled(call.stream, f"connection lost: {reason}"))
+        events.append(Broken(reason))
+        return events
+
+    def _drop(self, call: _Call) -> None:
+        self.calls.pop(call.stream, None)
+        self._dirty.pop(call.stream, None)
+
+    def _data(self, event: h2.events.DataReceived, events: list[Event]) -> None:
+        size = event.flow_controlled_length or 0
+        self._unacked += size
+        if self._unacked * 2 >= self.limits.connection_window:
+            self.h2.increment_flow_control_window(self._unacked)
+            self._unacked = 0
+        call = self.calls.get(event.stream_id or 0)
+        if call is None:
+            return
+        call.unacked += size
+        call.buffer += event.data or b""
+        try:
+            self._messages(call, events)
+        except _Fault as fault:
+            self._refuse_call(call, fault.status, events)
+            return
+        if not call.paused:
+            self._acknowledge(call)
+
+    def _acknowledge(self, call: _Call) -> None:
+        if call.unacked * 2 >= self.limits.stream_window and not call.remote_done:
+            try:
+                self.h2.increment_flow_control_window(call.unacked, call.stream)
+            except (h2.exceptions.ProtocolError, KeyError):
+                pass  # The stream has closed meanwhile: nobody waits for room.
+            call.unacked = 0
+
+    def _messages(self, call: _Call, events: list[Event]) -> None:
+        buffer, at = call.buffer, 0
+        while len(buffer) - at >= _PREFIX:
+            flag, size = buffer[at], int.from_bytes(buffer[at + 1:at + _PREFIX], "big")
+            if size > self.limits.max_message_bytes:
+                most = self.limits.max_message_bytes
+                raise _Fault(Code.RESOURCE_EXHAUSTED, f"message of {size} bytes, {most} allowed")
+            if len(buffer) - at - _PREFIX < size:
+                break
+            data = bytes(buffer[at + _PREFIX:at + _PREFIX + size])
+            at += _PREFIX + size
+            events.append(MessageReceived(call.stream, self._expand(call, flag, data) if flag else data))
+        del buffer[:at]
+
+    def _expand(self, call: _Call, flag: int, data: bytes) -> bytes:
+        if flag != 1 or not call.decoder:
+            raise _Fault(Code.INTERNAL, "message is marked compressed, but no grpc-encoding was told")
+        most = self.limits.max_message_bytes
+        machine = zlib.decompressobj(31 if call.decoder == "gzip" else 15)
+        try:
+            whole = machine.decompress(data, most + 1)
+        except zlib.error as error:
+            raise _Fault(Code.INTERNAL, f"message does not decompress: {error}") from None
+        if len(whole) > most:
+            raise _Fault(Code.RESOURCE_EXHAUSTED, f"message is over {most} bytes when decompressed")
+        if not machine.eof:
+            raise _Fault(Code.INTERNAL, "compressed message ends early")
+        return whole
+
+    def _refuse_call(self, call: _Call, status: Status, events: list[Event]) -> None:
+        """End a call for the peer's fault in it."""
+        if self.client:
+            self.reset(call.stream, ErrorCodes.CANCEL)
+            events.append(CallEnded(call.stream, status))
+        else:
+            stream = call.stream
+            self.finish(stream, status)
+            events.append(Cancelled(stream, status.message))
+
+    # -- in, server
+
+    def _request(self, event: h2.events.RequestReceived, events: list[Event]) -> None:
+        stream = event.stream_id or 0
+        if self._final_goaway is not None and stream > self._final_goaway:
+            self.h2.reset_stream(stream, ErrorCodes.REFUSED_STREAM)
+            return
+        call = self.calls[stream] = _Call(stream)
+        raw = {name: value for name, value in event.headers or ()}
+        kind = raw.get(b"content-type", b"")
+        if raw.get(b":method") != b"POST" or not kind.startswith(b"application/grpc"):
+            code = b"405" if raw.get(b":method") != b"POST" else b"415"
+            self.h2.send_headers(stream, [(b":status", code)], end_stream=True)
+            self._drop(call)
+            if event.stream_ended is None:
+                self.h2.reset_stream(stream, ErrorCodes.NO_ERROR)
+            return
+        try:
+            metadata = _metadata(event.headers or ())
+            timeout = decode_timeout(raw[b"grpc-timeout"].decode("latin-1")) if b"grpc-timeout" in raw else None
+        except ValueError as error:
+            self.finish(stream, Status(Code.INVALID_ARGUMENT, str(error)))
+            return
+        call.decoder = raw.get(b"grpc-encoding", b"identity").decode("latin-1").replace("identity", "")
+        if call.decoder not in ("", "gzip", "deflate"):
+            self.finish(stream, Status(Code.UNIMPLEMENTED, f"grpc-encoding: {call.decoder[:40]!r} is not known here"))
+            return
+        accepts = raw.get(b"grpc-accept-encoding", b"").replace(b" ", b"").split(b",")
+        call.encoder = "gzip" if b"gzip" in accepts and call.decoder else ""
+        call.got_headers = True
+        events.append(CallStarted(stream, raw.get(b":path", b"").decode("latin-1"), timeout, metadata))
+
+    # -- in, client
+
+    def _response(self, event: h2.events.ResponseReceived, events: list[Event]) -> None:
+        call = self.calls.get(event.stream_id or 0)
+        if call is None:
+            return
+        raw = {name: value for name, value in event.headers or ()}
+        http = int(raw.get(b":status", b"0")) if raw.get(b":status", b"0").isdigit() else 0
+        kind = raw.get(b"content-type", b"")
+        if http != 200 or not kind.startswith(b"application/grpc"):
+            code = from_http(http) if http != 200 else Code.UNKNOWN
+            if b"grpc-status" not in raw:
+                if event.stream_ended is None:
+                    self.reset(call.stream, ErrorCodes.CANCEL)
+                self._drop(call)
+                events.append(CallEnded(call.stream, Status(code, f"not a gRPC answer: status {http}, {kind!r}")))
+                return
+        if event.stream_ended is not None:
+            self._finish_client(call, event.headers or (), events)
+            return
+        call.got_headers = True
+        call.decoder = raw.get(b"grpc-encoding", b"identity").decode("latin-1").replace("identity", "")
+        if call.decoder not in ("", "gzip", "deflate"):
+            fault = Status(Code.INTERNAL, f"grpc-encoding: {call.decoder[:40]!r} was never offered")
+            self._refuse_call(call, fault, events)
+            return
+        try:
+            events.append(CallHeaders(call.stream, _metadata(event.headers or ())))
+        except ValueError as error:
+            self._refuse_call(call, Status(Code.INTERNAL, str(error)), events)
+
+    def _trailers(self, event: h2.events.TrailersReceived, events: list[Event]) -> None:
+        call = self.calls.get(event.stream_id or 0)
+        if call is None:
+            return
+        if self.client:
+            self._finish_client(call, event.headers or (), events)
+
+    def _finish_client(self, call: _Call, headers: Iterable[tuple[bytes, bytes]], events: list[Event]) -> None:
+        raw = {name: value for name, value in headers}
+        done = call.local_done and call.ending is None and not call.out
+        self._drop(call)
+        if not done:  # The server needed no more of the request.
+            self._quiet_reset(call.stream, ErrorCodes.NO_ERROR)
+        number = raw.get(b"grpc-status", b"")
+        code = Code(int(number)) if number.isdigit() and int(number) in Code._value2member_map_ else Code.UNKNOWN
+        message = decode_message(raw.get(b"grpc-message", b"").decode("latin-1"))
+        if not number:
+            message = "the answer ended without a grpc-status"
+        elif code is Code.OK and call.buffer:
+            code, message = Code.INTERNAL, f"the answer ended inside a message ({len(call.buffer)} bytes)"
+        try:
+            metadata = _metadata(headers)
+        except ValueError as error:
+            code, message, metadata = Code.INTERNAL, f"trailers: {error}", ()
+        details = next((v for k, v in metadata if k == "grpc-status-details-bin" and isinstance(v, bytes)), b"")
+        events.append(CallEnded(call.stream, Status(code, message, details), metadata))
+
+    def _ended(self, event: h2.events.StreamEnded, events: list[Event]) -> None:
+        call = self.calls.get(event.stream_id or 0)
+        if call is None:
+            return
+        call.remote_done = True
+        if self.client:  # Trailers drop the call before this; here there were none.
+            self._drop(call)
+            status = Status(Code.INTERNAL, "the answer ended without trailers")
+            events.append(CallEnded(call.stream, status, reset=True))
+        elif call.buffer:
+            fault = f"the request ended inside a message ({len(call.buffer)} bytes)"
+            self._refuse_call(call, Status(Code.INVALID_ARGUMENT, fault), events)
+        else:
+            events.append(HalfClosed(call.stream))
+
+    def _reset(self, event: h2.events.StreamReset, events: list[Event]) -> None:
+        call = self.calls.get(event.stream_id or 0)
+        if call is None:
+            return
+        self._drop(call)
+        error = int(event.error_code or 0)
+        if self.client:
+            events.append(CallEnded(call.stream, Status(from_reset(error), f"stream reset by peer, error {error}"),
+                                    reset=True, unprocessed=error == ErrorCodes.REFUSED_STREAM))
+        else:
+            events.append(Cancelled(call.stream, f"reset by the client, error {error}"))
+
+    def _window(self, event: h2.events.WindowUpdated, events: list[Event]) -> None:
+        if event.stream_id:
+            if event.stream_id in self.calls:
+                self._dirty[event.stream_id] = None
+        else:
+            self._all_dirty()
+
+    def _all_dirty(self) -> None:
+        for stream, call in self.calls.items():
+            if call.out or call.ending is not None or call.local_done:
+                self._dirty[stream] = None
+
+    def _settings(self, event: h2.events.RemoteSettingsChanged, events: list[Event]) -> None:
+        if SettingCodes.INITIAL_WINDOW_SIZE in (event.changed_settings or {}):
+            self._all_dirty()
+
+    def _pong(self, event: h2.events.PingAckReceived, events: list[Event]) -> None:
+        data = event.ping_data or b""
+        if data == _DRAIN_PING and self.draining and not self.client:
+            self._final_goaway = self.h2.highest_inbound_stream_id
+            self._extra += GoAwayFrame(0, last_stream_id=self._final_goaway).serialize()
+        else:
+            events.append(Pong(data))
+
+    def _goaway(self, event: h2.events.ConnectionTerminated, events: list[Event]) -> None:
+        last, error = event.last_stream_id or 0, int(event.error_code or 0)
+        self.draining = True
+        for call in [c for c in self.calls.values() if self.client and c.stream > last]:
+            self._drop(call)
+            events.append(CallEnded(call.stream, Status(Code.UNAVAILABLE, "the peer goes away"), reset=True,
+                                    unprocessed=True))
+        events.append(GoAway(last, error, (event.additional_data or b"").decode(errors="replace")[:200]))
+
+    # -- out
+
+    def room(self) -> int:
+        """Calls that may still be opened towards the peer, by its settings."""
+        return 0 if self.dead or self.draining else (
+            self.h2.remote_settings.max_concurrent_streams - len(self.calls))
+
+    def start(self, method: str, metadata: Metadata = (), timeout: int | None = None, compress: bool = False) -> int:
+        """Client: open a call; `timeout` in microseconds. Returns its stream's number."""
+        stream = self.h2.get_next_available_stream_id()
+        headers = [(b":method", b"POST"), (b":scheme", b"http"), (b":path", method.encode()),
+                   (b":authority", self.authority.encode()), (b"te", b"trailers"),
+                   (b"content-type", b"application/grpc+proto"), (b"user-agent", b"tuliptrack")]
+        if timeout is not None:
+            headers.append((b"grpc-timeout", encode_timeout(timeout)))
+        headers.append((b"grpc-accept-encoding", b"gzip,deflate,identity"))
+        if compress:
+            headers.append((b"grpc-encoding", b"gzip"))
+        self.h2.send_headers(stream, headers + _encode_metadata(metadata))
+        call = self.calls[stream] = _Call(stream)
+        call.encoder = "gzip" if compress else ""
+        return stream
+
+    def send(self, stream: int, data: bytes) -> bool:
+        """Queue a message; False asks the caller to stop until `Writable`. Of an ended call: dropped, False."""
+        call = self.calls.get(stream)
+        if call is None or call.ending is not None or call.local_done:
+            return False
+        if not self.client and not call.answered:
+            self._answer(call)
+        flag = 0
+        if call.encoder and len(data) > 512:
+            machine = zlib.compressobj(6, zlib.DEFLATED, 31)
+            flag, data = 1, machine.compress(data) + machine.flush()
+        call.out.append(flag.to_bytes(1, "big") + len(data).to_bytes(4, "big") + data)
+        call.out_bytes += _PREFIX + len(data)
+        self._dirty[stream] = None
+        if call.out_bytes > self.limits.pending_high:
+            call.high = True
+        return not call.high
+
+    def _answer(self, call: _Call) -> None:
+        headers = [(b":status", b"200"), (b"content-type", b"application/grpc+proto"),
+                   (b"grpc-accept-encoding", b"gzip,deflate,identity")]
+        if call.encoder:
+            headers.append((b"grpc-encoding", call.encoder.encode()))
+        self.h2.send_headers(call.stream, headers + _encode_metadata(call.metadata))
+        call.answered = True
+
+    def headers(self, stream: int, metadata: Metadata) -> None:
+        """Server: send the leading headers now, before any message."""
+        call = self.calls.get(stream)
+        if call and not call.answered:
+            call.metadata = metadata
+            self._answer(call)
+
+    def half_close(self, stream: int) -> None:
+        """Client: no more messages follow."""
+        call = self.calls.get(stream)
+        if call and not call.local_done:
+            call.local_done = True
+            call.ending = []
+            self._dirty[stream] = None
+
+    def finish(self, stream: int, status: Status, metadata: Metadata = ()) -> bool:
+        """Server: end a call once what was sent has gone out; False where it had ended."""
+        call = self.calls.get(stream)
+        if call is None or call.ending is not None:
+            return False
+        trailers = [(b"grpc-status", str(int(status.code)).encode())]
+        if status.message:
+            trailers.append((b"grpc-message", encode_message(status.message)))
+        if status.details:
+            trailers.append((b"grpc-status-details-bin", encode_binary(status.details)))
+        trailers += _encode_metadata(metadata)
+        if not call.answered:
+            trailers[:0] = [(b":status", b"200"), (b"content-type", b"application/grpc+proto"),
+                            (b"grpc-accept-encoding", b"gzip,deflate,identity")]
+        call.ending = trailers
+        call.buffer.clear()
+        self._dirty[stream] = None
+        return True
+
+    def reset(self, stream: int, error: int = ErrorCodes.CANCEL) -> bool:
+        """End a call at once, without a status; False where it had ended."""
+        call = self.calls.get(stream)
+        if call is None:
+            return False
+        self._drop(call)
+        self._quiet_reset(stream, error)
+        return True
+
+    def _quiet_reset(self, stream: int, error: int) -> None:
+        try:
+            self.h2.reset_stream(stream, error)
+        except h2.exceptions.ProtocolError:
+            pass  # It has closed by itself meanwhile.
+
+    def pause(self, stream: int) -> None:
+        """The application takes no more of this call for now: its window is not opened again."""
+        if call := self.calls.get(stream):
+            call.paused = True
+
+    def resume(self, stream: int) -> None:
+        call = self.calls.get(stream)
+        if call and call.paused:
+            call.paused = False
+            self._acknowledge(call)
+
+    def pending(self, stream: int) -> int:
+        """Bytes of a call that wait to be sent."""
+        call = self.calls.get(stream)
+        return call.out_bytes if call else 0
+
+    def ping(self, data: bytes) -> None:
+        if not self.dead:
+            self._extra += PingFrame(0, opaque_data=data[:8].ljust(8, b"\0")).serialize()
+
+    def drain(self) -> None:
+        """Server: take no new calls, let the open ones end; the peer is told in two steps, as RFC 9113 has it."""
+        if not self.draining and not self.dead:
+            self.draining = True
+            self._extra += GoAwayFrame(0, last_stream_id=_LAST_STREAM).serialize()
+            self.ping(_DRAIN_PING)
+
+    def take(self) -> bytes:
+        """What is to be written now. Calls with much to send take turns, a frame each."""
+        if not self.dead:
+            while self._dirty:
+                again: dict[int, None] = {}
+                for stream in list(self._dirty):
+                    call = self.calls.get(stream)
+                    if call and self._pump(call):
+                        again[stream] = None
+                self._dirty = again
+        data = self.h2.data_to_send() if not self.dead or self.h2._data_to_send else b""
+        if self._extra:
+            data += bytes(self._extra)
+            self._extra.clear()
+        return data
+
+    def events(self) -> list[Event]:
+        """Events that sending has caused (`Writable`)."""
+        late, self._late = self._late, []
+        return late
+
+    def _pump(self, call: _Call) -> bool:
+        """Send up to one frame of a call; True where more could go at once."""
+        out = call.out
+        if out:
+            room = min(self.h2.local_flow_control_window(call.stream), self.h2.max_outbound_frame_size)
+            if room <= 0:
+                return False
+            data = out.popleft()
+            if out and len(data) < room:
+                parts, size = [data], len(data)
+                while out and size + len(out[0]) <= room:
+                    data = out.popleft()
+                    parts.append(data)
+                    size += len(data)
+                data = b"".join(parts)
+            if len(data) > room:
+                out.appendleft(data[room:])
+                data = data[:room]
+            call.out_bytes -= len(data)
+            last = not out and call.ending is not None and self.client
+            self.h2.send_data(call.stream, data, end_stream=last)
+            if call.high and call.out_bytes <= self.limits.pending_low:
+                call.high = False
+                self._late.append(Writable(call.stream))
+            if out:
+                return True
+            if last:
+                call.ending = None
+                return False
+        if call.ending is None:
+            return False
+        if self.client:
+            self.h2.end_stream(call.stream)
+            call.ending = None
+        else:
+            self.h2.send_headers(call.stream, call.ending, end_stream=True)
+            self._drop(call)
+            if not call.remote_done:
+                self._quiet_reset(call.stream, ErrorCodes.NO_ERROR)
+        return False
+
+
+_OWN = (b"grpc-timeout", b"grpc-encoding", b"grpc-accept-encoding", b"grpc-status", b"grpc-message", b"te",
+        b"content-type", b"user-agent")
+
+
+def _metadata(headers: Iterable[tuple[bytes, bytes]]) -> Metadata:
+    """The application's part of a header block; ValueError names what can't be read."""
+    found: list[tuple[str, str | bytes]] = []
+    for name, value in headers:
+        if name.startswith(b":") or name in _OWN:
+            continue
+        key, text = name.decode("latin-1"), value.decode("latin-1")
+        if key.endswith("-bin"):
+            try:
+                found += [(key, decode_binary(part.strip())) for part in text.split(",")]
+            except ValueError as error:
+                raise ValueError(f"{key[:60]}: {error}") from None
+        else:
+            found.append((key, text))
+    return tuple(found)
+
+
+def _encode_metadata(metadata: Metadata) -> list[tuple[bytes, bytes]]:
+    """Written form; ValueError where a key or value can't be sent."""
+    found = []
+    for key, value in metadata:
+        if key.startswith((":", "grpc-")) or key in _RESERVED or not all(
+                c.isascii() and (c.islower() or c.isdigit() or c in "-_.") for c in key):
+            raise ValueError(f"metadata: {key!r} is not a key that may be sent")
+        if isinstance(value, bytes):
+            if not key.endswith("-bin"):
+                raise ValueError(f"metadata: {key!r} has bytes, but does not end in -bin")
+            found.append((key.encode(), encode_binary(value)))
+        else:
+            if not all(0x20 <= ord(c) <= 0x7E for c in value):
+                raise ValueError(f"metadata: the value of {key!r} is not printable ASCII")
+            found.append((key.encode(), value.strip().encode()))
+    return found
--- /dev/null
+++ b/tuliptrack/rpc/link.py
@@ -0,0 +1,113 @@
+"""The thin I/O shell around `core.Core`: one connection on asyncio streams, its reading task, its writes.
+
+Nothing here knows what a call is for. Handlers run in the reading task, at once, and must not wait; what
+they send goes out together at the end of the loop's turn. While the socket takes no more, calls keep what
+they have to send, within the core's bounds, and control frames within its limits.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from abc import abstractmethod
+
+from tuliptrack.rpc.core import Broken, Core, Event
+
+__all__ = ["Link", "now_us"]
+
+_READ_SIZE = 131_072  # bytes asked of a socket at once
+_WRITE_HIGH = 262_144  # bytes in the socket's buffer past which calls keep theirs
+_WRITE_MOST = 8_388_608  # bytes past which the peer is held to be gone: control frames alone made this
+
+
+def now_us() -> int:
+    """Monotonic time in whole microseconds."""
+    return time.monotonic_ns() // 1000
+
+
+class Link:
+    """One connection. Its owner awaits `run`, or ends it with `close`; either leaves no task behind."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, core: Core) -> None:
+        self.reader, self.writer, self.core = reader, writer, core
+        self.loop = asyncio.get_running_loop()
+        self.heard_at = now_us()
+        self._scheduled = False
+        self._blocked: asyncio.Task[None] | None = None
+        self.closed = False
+        self.flush_soon()
+
+    @abstractmethod
+    def on_event(self, event: Event) -> None:
+        """Act on one event of the core."""
+
+    async def run(self) -> None:
+        """Read until the connection ends; on return it is closed and every call of it has ended."""
+        reason = "closed by the peer"
+        try:
+            while not self.core.dead:
+                data = await self.reader.read(_READ_SIZE)
+                if not data:
+                    break
+                self.heard_at = now_us()
+                self._act(self.core.receive(data, self.heard_at))
+                self.flush_soon()
+        except OSError as error:
+            reason = str(error) or type(error).__name__
+        finally:
+            self.close(reason)
+            if self._blocked:
+                self._blocked.cancel()
+                with contextlib.suppress(asyncio.CancelledError):
+                    await self._blocked
+            with contextlib.suppress(OSError, asyncio.CancelledError):
+                await asyncio.wait_for(self.writer.wait_closed(), 1.0)
+
+    def _act(self, events: list[Event]) -> None:
+        for event in events:
+            self.on_event(event)
+
+    def flush_soon(self) -> None:
+        """Write what the core has, at the end of this turn of the loop."""
+        if not self._scheduled and not self.closed:
+            self._scheduled = True
+            self.loop.call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self._scheduled = False
+        if self.closed or self._blocked:
+            return
+        if data := self.core.take():
+            self.writer.write(data)
+            waiting = self.writer.transport.get_write_buffer_size()
+            if waiting > _WRITE_MOST:
+                self.close("the peer reads nothing")
+                return
+            if waiting > _WRITE_HIGH:
+                self._blocked = self.loop.create_task(self._unblock())
+        self._act(self.core.events())
+        if self.core.dead:
+            self.close("broken")
+
+    async def _unblock(self) -> None:
+        with contextlib.suppress(OSError):
+            await self.writer.drain()
+        self._blocked = None
+        self.flush_soon()
+
+    def close(self, reason: str) -> None:
+        """End the connection now: what can be written is, every open call ends, the socket closes."""
+        if self.closed:
+            return
+        self._act(self.core.lost(reason))
+        self.closed = True
+        with contextlib.suppress(OSError, RuntimeError):
+            if data := self.core.take():
+                self.writer.write(data)
+            self.writer.close()
+        if self.writer.transport.get_write_buffer_size() > 0:
+            self.loop.call_later(1.0, self.writer.transport.abort)
+
+    def broke(self, event: Event) -> bool:
+        return isinstance(event, Broken)
--- /dev/null
+++ b/tuliptrack/rpc/server.py
@@ -0,0 +1,288 @@
+"""A gRPC server on asyncio streams: methods by path, calls handed to handlers, graceful stop.
+
+A handler is called at once when a call's headers are there and sets the call's callbacks; none may wait.
+`unary_request` makes a handler from a function that wants the whole request in one message.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import structlog
+from google.protobuf.message import DecodeError, Message
+
+from tuliptrack.rpc.core import (
+    CallStarted,
+    Cancelled,
+    Core,
+    Event,
+    GoAway,
+    HalfClosed,
+    Limits,
+    MessageReceived,
+    Writable,
+)
+from tuliptrack.rpc.link import Link, now_us
+from tuliptrack.rpc.status import Code, Metadata, Status
+
+__all__ = ["Handler", "Server", "ServerCall", "unary_request"]
+
+log = structlog.get_logger("rpc")
+
+
+def _nothing(*_: Any) -> None:
+    pass
+
+
+class ServerCall:
+    """One call at the server. It ends once: by `end`, or by `on_gone` being called.
+
+    `deadline` is in monotonic microseconds, None where the client told none. Past it the server itself ends
+    the call with DEADLINE_EXCEEDED, and `on_gone` is called.
+    """
+
+    __slots__ = ("_timer", "deadline", "link", "metadata", "method", "on_gone", "on_half_close", "on_message",
+                 "on_writable", "open", "stream")
+
+    def __init__(self, link: _ServerLink, start: CallStarted) -> None:
+        self.link, self.stream, self.method, self.metadata = link, start.stream, start.method, start.metadata
+        self.deadline = None if start.timeout is None else now_us() + start.timeout
+        self.open = True
+        self.on_message: Callable[[bytes], None] = _nothing
+        self.on_half_close: Callable[[], None] = _nothing
+        self.on_gone: Callable[[str], None] = _nothing
+        self.on_writable: Callable[[], None] = _nothing
+        self._timer = None if start.timeout is None else link.loop.call_later(start.timeout / 1e6, self._late)
+
+    @property
+    def peer(self) -> str:
+        return self.link.peer
+
+    def send(self, message: bytes) -> bool:
+        """Queue a message; False asks to stop until `on_writable`."""
+        going = self.link.core.send(self.stream, message)
+        self.link.flush_soon()
+        return going
+
+    def end(self, status: Status, metadata: Metadata = ()) -> bool:
+        """End the call behind what was sent; False where it had ended."""
+        if not self.open:
+            return False
+        self._over()
+        done = self.link.core.finish(self.stream, status, metadata)
+        self.link.flush_soon()
+        return done
+
+    def pause(self) -> None:
+        self.link.core.pause(self.stream)
+
+    def resume(self) -> None:
+        self.link.core.resume(self.stream)
+        self.link.flush_soon()
+
+    def reset(self) -> None:
+        """End the call at once without a status, as a peer that dies does."""
+        if self.open:
+            self._over()
+            self.link.core.reset(self.stream)
+            self.link.flush_soon()
+
+    def _late(self) -> None:
+        if self.open:
+            self.end(Status(Code.DEADLINE_EXCEEDED, "the client's deadline has passed"))
+            self.on_gone("deadline")
+
+    def _over(self) -> None:
+        self.open = False
+        self.link.calls.pop(self.stream, None)
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        self.link.check_drained()
+
+    def gone(self, reason: str) -> None:
+        if self.open:
+            self._over()
+            self.on_gone(reason)
+
+
+Handler = Callable[[ServerCall], None]
+M = TypeVar("M", bound=Message)
+
+
+def unary_request(kind: type[M], act: Callable[[ServerCall, M], None]) -> Handler:
+    """A handler for calls with one request message: acts on it once the client has sent all."""
+
+    def handle(call: ServerCall) -> None:
+        got: list[M] = []
+
+        def message(data: bytes) -> None:
+            if got:
+                call.end(Status(Code.UNIMPLEMENTED, f"{call.method}: one request message expected, a second came"))
+                return
+            request = kind()
+            try:
+                request.ParseFromString(data)
+            except DecodeError as error:
+                call.end(Status(Code.INVALID_ARGUMENT, f"request: not a {kind.DESCRIPTOR.full_name} ({error})"))
+                return
+            got.append(request)
+
+        def half_close() -> None:
+            if got:
+                act(call, got[0])
+            else:
+                call.end(Status(Code.UNIMPLEMENTED, f"{call.method}: one request message expected, none came"))
+
+        call.on_message, call.on_half_close = message, half_close
+
+    return handle
+
+
+class _ServerLink(Link):
+    def __init__(self, server: Server, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.server = server
+        self.calls: dict[int, ServerCall] = {}
+        name = writer.get_extra_info("peername")
+        self.peer = f"{name[0]}:{name[1]}" if name else "?"
+        super().__init__(reader, writer, Core(client=False, limits=server.limits, now=now_us()))
+
+    def on_event(self, event: Event) -> None:
+        if isinstance(event, CallStarted):
+            self._start(event)
+            return
+        call = self.calls.get(getattr(event, "stream", 0))
+        try:
+            if isinstance(event, MessageReceived):
+                if call:
+                    call.on_message(event.data)
+            elif isinstance(event, HalfClosed):
+                if call:
+                    call.on_half_close()
+            elif isinstance(event, Cancelled):
+                if call:
+                    call.gone(event.reason)
+            elif isinstance(event, Writable):
+                if call:
+                    call.on_writable()
+            elif isinstance(event, GoAway):
+                pass  # A client that goes away still reads its answers.
+            elif self.broke(event):
+                self.server.broken += 1
+                log.info("connection ended", peer=self.peer, reason=getattr(event, "reason", ""))
+        except Exception:
+            log.exception("handler failed", method=call.method if call else "")
+            if call:
+                call.end(Status(Code.INTERNAL, "the handler failed"))
+                call.gone("handler failed")
+
+    def _start(self, event: CallStarted) -> None:
+        call = ServerCall(self, event)
+        handler = self.server.methods.get(event.method)
+        if handler is None or self.server.stopping:
+            self.calls[event.stream] = call
+            if handler is None:
+                call.end(Status(Code.UNIMPLEMENTED, f"{event.method[:100]}: no such method here"))
+            else:
+                call.end(Status(Code.UNAVAILABLE, "this server is shutting down"))
+            return
+        self.calls[event.stream] = call
+        try:
+            handler(call)
+        except Exception:
+            log.exception("handler failed", method=event.method)
+            call.end(Status(Code.INTERNAL, "the handler failed"))
+
+    def check_drained(self) -> None:
+        """While stopping, close once the last call has ended and its answer is written."""
+        if self.server.stopping and not self.calls:
+            self.loop.call_soon(self._close_drained)
+
+    def _close_drained(self) -> None:
+        if not self.calls and not self.core.calls:
+            self.close("drained")
+        elif not self.calls and not self.closed:
+            self.loop.call_later(0.01, self._close_drained)
+
+
+class Server:
+    """Listens on one address. Bound: `max_connections`; one more is closed at once."""
+
+    def __init__(self, limits: Limits | None = None, max_connections: int = 4_096) -> None:
+        self.limits, self.max_connections = limits or Limits(), max_connections
+        self.methods: dict[str, Handler] = {}
+        self.links: dict[_ServerLink, asyncio.Task[None]] = {}
+        self.stopping = False
+        self.broken = 0
+        self.turned_away = 0
+        self._server: asyncio.Server | None = None
+        self._cut = asyncio.Event()
+        self.address = ""
+        self.gate: Callable[[asyncio.StreamWriter], Awaitable[bool]] | None = None
+        """Asked of each new connection, where set; False turns it away."""
+
+    def add(self, service: str, method: str, handler: Handler) -> None:
+        self.methods[f"/{service}/{method}"] = handler
+
+    async def listen(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Start; returns host:port, with the kernel's choice for port 0."""
+        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        name = self._server.sockets[0].getsockname()
+        self.address = f"{name[0]}:{name[1]}"
+        return self.address
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.links) >= self.max_connections or self.stopping or (self.gate and not await self.gate(writer)):
+            self.turned_away += 1
+            writer.transport.abort()
+            return
+        link = _ServerLink(self, reader, writer)
+        task = asyncio.current_task()
+        assert task is not None
+        self.links[link] = task
+        try:
+            await link.run()
+        except asyncio.CancelledError:
+            pass  # Only `stop` cancels, and it wants this to end quietly.
+        finally:
+            self.links.pop(link, None)
+
+    def cut_short(self) -> None:
+        """End the grace of a `stop` that runs."""
+        self._cut.set()
+
+    def open_calls(self) -> int:
+        return sum(len(link.calls) for link in self.links)
+
+    async def stop(self, grace: float = 0.0) -> None:
+        """Take no new calls, let open ones run for `grace` seconds, then end all."""
+        self.stopping = True
+        if self._server:
+            self._server.close()
+        for link in list(self.links):
+            link.core.drain()
+            link.flush_soon()
+            link.check_drained()
+        tasks = list(self.links.values())
+        if tasks and grace > 0:
+            cut = asyncio.ensure_future(self._cut.wait())
+            await asyncio.wait({asyncio.ensure_future(asyncio.wait(tasks)), cut}, timeout=grace,
+                               return_when=asyncio.FIRST_COMPLETED)
+            cut.cancel()
+        for link in list(self.links):
+            for call in list(link.calls.values()):
+                call.end(Status(Code.UNAVAILABLE, "this server has shut down"))
+                call.on_gone("server stopped")
+            link.close("server stopped")
+        for task in tasks:
+            if not task.done():
+                task.cancel()
+        for task in tasks:
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+        if self._server:
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._server.wait_closed()
