--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import signal
+import sys
 from typing import IO
 
 import click
@@ -59,3 +60,25 @@
     print(json.dumps({"address": address}), flush=True)
     await stop.wait()
     await one.stop()
+@lab.command()
+@click.argument("file", type=click.Path())
+@click.option("--seed", type=int, help="In place of the scenario's own.")
+@click.option("--json", "as_json", is_flag=True, help="Print the verdict as JSON.")
+@click.option("--keep", type=click.Path(), help="Folder for the logs of the day; default: removed afterwards.")
+def play(file: str, seed: int | None, as_json: bool, keep: str | None) -> None:
+    """Play the scripted day in FILE with nodes and engines as processes, and judge it by the traffic. Exit code 0
+    when all rules were kept, 1 when one was broken."""
+    from tuliptrack.lab.day import play_day
+    from tuliptrack.lab.report import as_text
+
+    set_up(json_lines=False, quiet=True)
+    try:
+        scenario, located = read_file(file, lab_pb2.Scenario)
+        located.check()
+    except ConfigError as error:
+        raise BadFile(str(error)) from None
+    if seed is not None:
+        scenario.seed = seed
+    verdict = asyncio.run(play_day(scenario, keep, None if as_json else lambda text: click.echo(text, err=True)))
+    click.echo(json.dumps(verdict, indent=1) if as_json else as_text(verdict))
+    sys.exit(0 if verdict["kept"] else 1)
--- a/tuliptrack/lab/engine.py
+++ b/tuliptrack/lab/engine.py
@@ -317,6 +317,7 @@
         call.end(Status(Code.OK), self.trailer())
 
     def _hold(self, call: ServerCall, request: engine_pb2.HoldRequest) -> None:
+        self.note("hold", request=request.work.request_id)
         held = len(self.jobs) < self.m["slots"] and not self.queue
         call.send(engine_pb2.HoldResponse(held=held).SerializeToString())
         call.end(Status(Code.OK), self.trailer())
--- a/tuliptrack/lab/feed.py
+++ b/tuliptrack/lab/feed.py
@@ -18,7 +18,7 @@
     def __init__(self, note: Callable[..., None] = lambda *_, **__: None) -> None:
         self.entries: dict[int, pb.ServerEntry] = {}
         self.version = 0
-        self.watchers: dict[ServerCall, int] = {}
+        self.watchers: dict[ServerCall, str] = {}
         self.silent = self.failing = False
         self.note: Callable[..., Any] = note
         self.server = Server()
@@ -39,10 +39,10 @@
         if self.failing:
             call.end(Status(Code.UNAVAILABLE, "the feed fails"))
             return
-        self.watchers[call] = self.version
+        self.watchers[call] = request.node
         call.on_gone = lambda _: self._left(call)
         call.send(self._whole().SerializeToString())
-        self._told(call, self._whole())
+        self._told(request.node, self._whole())
 
     def _left(self, call: ServerCall) -> None:
         self.watchers.pop(call, None)
@@ -53,10 +53,10 @@
             return
         call.send(self._whole().SerializeToString())
         call.end(Status(Code.OK))
-        self._told(call, self._whole())
+        self._told(request.node, self._whole())
 
-    def _told(self, call: ServerCall, message: pb.ServerList) -> None:
-        self.note("told", peer=call.peer, full=message.kind == pb.ServerList.FULL,
+    def _told(self, node: str, message: pb.ServerList) -> None:
+        self.note("told", node=node, full=message.kind == pb.ServerList.FULL,
                   states={str(e.id): pb.ServerEntry.State.Name(e.state) for e in message.servers})
 
     def change(self, *entries: pb.ServerEntry) -> None:
@@ -70,8 +70,7 @@
     def push(self, message: pb.ServerList) -> None:
         for call in list(self.watchers):
             call.send(message.SerializeToString())
-            self._told(call, message)
-            self.watchers[call] = self.version
+            self._told(self.watchers[call], message)
 
     def set_silent(self, silent: bool) -> None:
         self.silent = silent
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -106,7 +106,7 @@
     def _source(self) -> Source:
         options = self.config.source
         if options.feed:
-            return FeedSource(options.feed, self.config.engines.connect_timeout)
+            return FeedSource(options.feed, str(self.settings.slot), self.config.engines.connect_timeout)
         return FileSource(options.file, options.poll)
 
     # -- life
@@ -174,10 +174,12 @@
                 except Exception:
                     log.exception("the router failed", event_kind=type(one).__name__)
                     self._give_up(getattr(one, "id", 0))
-                    continue
+                    actions = []
+                record = self.table.open.get(getattr(one, "id", 0))
+                if record and isinstance(one, io.Outcome):
+                    record.untold -= 1
                 for action in actions:
                     self._acts[type(action)](action)
-                record = self.table.open.get(getattr(one, "id", 0))
                 if record:
                     self._settle(record)
         finally:
@@ -312,6 +314,7 @@
         channel = self.engines.channel(action.server)
         if record.ended or record.out is not None or channel is None or seat is None:
             status = io.Status.CONNECT_FAILED if channel is None and not record.ended else io.Status.MOOT
+            record.untold += 1
             self._events.append(io.Outcome(record.id, attempt.number, action.server, status, 0, record.ended))
             return
         left = record.due - now
@@ -414,6 +417,7 @@
             return
         self._cancel_timer(attempt)
         record.out = None
+        record.untold += 1
         status = outcome_of(end)
         lost = status is io.Status.FULL and end.status.code is Code.FAILED_PRECONDITION
         latency = self.now() - attempt.sent
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -9,7 +9,7 @@
 TAKEN: no attempt out, nothing held. READING: an attempt at a reader is out. HELD: a read state waits, no
 attempt out. WRITING: an attempt at a writer (or mixed server) is out and has not answered. STREAMING: its first
 token has come. The four ends are final: `end` lets a request into one of them once and says whether it did. An
-attempt may still be out then; the record stays until its outcome is known.
+attempt may still be out then; the record stays until the router has been told of its outcome.
 """
 
 from __future__ import annotations
@@ -92,6 +92,8 @@
     held: Held | None = None
     holding: int | None = None
     """The server at which a place was asked for."""
+    untold: int = 0
+    """Outcomes that the router has yet to hear of: it may still act on them, so the record stays."""
     next_index: int = 0
     cached_tokens: int = 0
     finish: Finish | None = None
@@ -143,7 +145,7 @@
 
     def settle(self, record: Record) -> bool:
         """Drop a request that has ended and has no attempt out; True where it was dropped now."""
-        if record.ended and record.out is None and record.id in self.open:
+        if record.ended and record.out is None and not record.untold and record.id in self.open:
             del self.open[record.id]
             self.ends[record.state] += 1
             return True
--- a/tuliptrack/sources/feed.py
+++ b/tuliptrack/sources/feed.py
@@ -24,7 +24,9 @@
 class FeedSource:
     """One Watch stream at a time, while subscribed. `keepalive` (microseconds) finds a feed that died silently."""
 
-    def __init__(self, address: str, connect_timeout: int = 250_000, keepalive: int = 5_000_000) -> None:
+    def __init__(self, address: str, node: str = "", connect_timeout: int = 250_000,
+                 keepalive: int = 5_000_000) -> None:
+        self.node = node
         self.channel = Channel(address, Options(connect_timeout=connect_timeout, keepalive_after=keepalive,
                                                 keepalive_timeout=keepalive, max_links=1))
         self.tell: Callable[[pb.ServerList], None] = lambda _: None
@@ -71,7 +73,7 @@
 
         call = self.stream = self.channel.call(
             "/tuliptrack.v1.ServerFeed/Watch", on_message=got, on_end=ended,
-            message=pb.WatchRequest(version=self.version).SerializeToString())
+            message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString())
 
     def fetch(self) -> None:
         got: list[bytes] = []
@@ -86,7 +88,7 @@
                 self.tell(_FAILED)
 
         self.channel.call("/tuliptrack.v1.ServerFeed/Fetch", timeout=_FETCH_TIMEOUT, on_message=got.append,
-                          on_end=ended, message=pb.WatchRequest(version=self.version).SerializeToString())
+                          on_end=ended, message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString())
 
     async def close(self) -> None:
         self.subscribe(False)
