--- a/tests/rpc/test_stock_peers.py
+++ b/tests/rpc/test_stock_peers.py
@@ -142,7 +142,8 @@
             await asyncio.sleep(0)
             held.send(pb.GenerateResponse(text="two").SerializeToString())
             held.end(Status(Code.OK))
-            assert (await call.read()).text == "two" and await call.read() == grpc.aio.EOF  # an open stream ends well while the server goes away
+            # An open stream ends well while the server goes away.
+            assert (await call.read()).text == "two" and await call.read() == grpc.aio.EOF
             await stopping
         assert not server.links
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -136,8 +136,9 @@
 
 @asynccontextmanager
 async def world(engines: str = "r0 r1 w0 w1", settings: str = "", model: str = "", start: bool = True,
-                ) -> AsyncIterator[World]:
-    """Engines by name (r, w, m: their kind), with changes to the model in text format, and settings to merge."""
+                quota: float = 1000) -> AsyncIterator[World]:
+    """Engines by name (r, w, m: their kind), with changes to the model in text format, settings to add, and what
+    each tenant may ask a second."""
     made = World()
     with tempfile.TemporaryDirectory() as folder:
         for name in engines.split():
@@ -149,7 +150,8 @@
             await made.engines[name].start()
         feed = await made.feed.start()
         made.feed.change(*(made.entry(name) for name in made.engines))
-        made.node = Node(parse(f'{SETTINGS} servers {{ feed: "{feed}" cache: "{Path(folder) / "list"}" }} {settings}'))
+        base = SETTINGS.replace("quota_per_s: 1000", f"quota_per_s: {quota}")
+        made.node = Node(parse(f'{base} servers {{ feed: "{feed}" cache: "{Path(folder) / "list"}" }} {settings}'))
         try:
             if start:
                 made.address = await made.node.start()
--- a/tuliptrack/lab/day.py
+++ b/tuliptrack/lab/day.py
@@ -255,11 +255,12 @@
         finally:
             for task in [*playing, *happenings]:
                 task.cancel()
+        over = now_us()
         await self.stop()
         rows = [json.loads(line) for path in self.folder.glob("*.jsonl") for line in path.read_text().splitlines()]
         rows.sort(key=lambda row: row["t"])
         traffic = Traffic(self.arrivals, rows, self.told, self.lives, classes, settings.settings.release_within,
-                          settings.settings.drain_grace)
+                          settings.settings.drain_grace, over)
         verdict = judge(traffic)
         (self.folder / "clients.json").write_text(json.dumps([as_row(t) for a in self.arrivals for t in a.tries]))
         (self.folder / "verdict.json").write_text(json.dumps(verdict, indent=1))
--- a/tuliptrack/lab/engine.py
+++ b/tuliptrack/lab/engine.py
@@ -95,7 +95,7 @@
     """One stand-in. `start` listens; `stop` ends it and every task of it."""
 
     def __init__(self, name: str, model: lab_pb2.EngineModel, log: IO[str] | None = None, cold: bool = False) -> None:
-        self.name = name
+        self.name, self.model = name, model
         self.role = _ROLES[model.role]
         self.m = {k: float(getattr(model, k)) if model.HasField(k) else v for k, v in DEFAULTS.items()}
         self.random = random.Random(f"{int(self.m['seed'])}:{name}")
--- a/tuliptrack/lab/judge.py
+++ b/tuliptrack/lab/judge.py
@@ -46,6 +46,8 @@
     classes: dict[str, RequestClass]
     release_within: int = 300_000
     drain_grace: int = 500_000
+    end: int = 0
+    """When it was over, before anything was stopped; 0: at the last thing seen."""
 
 
 @dataclass
@@ -110,15 +112,21 @@
             died[life.who].append(life.end)
     ends = {(r["engine"], r["request"], r["attempt"]): r["t"] for r in day.engines if r["what"] in ("end", "gone")}
     spans: dict[str, list[tuple[int, int, str]]] = defaultdict(list)
+    last = _last(day)
     for row in day.engines:
         if row["what"] == "call":
             end = ends.get((row["engine"], row["request"], row["attempt"]))
-            if end is None:  # Its engine was killed.
-                end = min((t for t in died.get(row["engine"], []) if t >= row["t"]), default=row["t"])
+            if end is None:  # Its engine was killed, or it is out to this day's end.
+                end = min((t for t in died.get(row["engine"], []) if t >= row["t"]), default=last)
             spans[row["request"]].append((row["t"], end, row["engine"]))
     return spans
 
 
+def _last(day: Traffic) -> int:
+    """When the day was over: what hasn't ended by then has not ended."""
+    return day.end or max((row["t"] for row in day.engines), default=0)
+
+
 def _node_life(day: Traffic, node: int, at: int) -> Life | None:
     return next((life for life in reversed(day.lives) if life.who == f"node-{node}" and life.start <= at), None)
 
@@ -188,12 +196,13 @@
     for life in day.lives:
         if life.end:
             engine_ends[life.who].append(life.end)
+    last = _last(day)
     for row in day.engines:
         if row["what"] != "kept":
             continue
         death = deaths.get(row["request"].rpartition("-")[0], 0)
         end = let_go[row["state"]]["t"] if row["state"] in let_go else min(
-            (t for t in engine_ends[row["engine"]] if t > row["t"]), default=row["t"])
+            (t for t in engine_ends[row["engine"]] if t > row["t"]), default=last)
         at, longest = row["t"], 0
         for start, stop, _ in [*sorted(spans[row["request"]]), (end, end, "")]:
             if start > at:
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -385,7 +385,7 @@
         except DecodeError:
             self._engine_fault(record, attempt, "malformed GenerateResponse")
             return
-        if message.index != record.next_index or record.finish:
+        if not self._in_order(record, message):
             self._engine_fault(record, attempt, f"token {message.index} came, {record.next_index} was to come")
             return
         now = record.heard_at = self.now()
@@ -406,6 +406,10 @@
                 record.paused_at = now
             attempt.call.pause()
 
+    def _in_order(self, record: Record, message: generation_pb2.GenerateResponse) -> bool:
+        """No token reaches a client twice, out of turn, or after the last one."""
+        return message.index == record.next_index and not record.finish
+
     def _cancel_timer(self, attempt: Attempt) -> None:
         if attempt.timer:
             attempt.timer.cancel()
