--- /dev/null
+++ b/tests/config/test_node_config.py
@@ -0,0 +1,107 @@
+"""Settings: every problem at once, with its line; defaults that the .proto tells."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from tuliptrack.cli.main import main
+from tuliptrack.config.node import DEFAULTS, load, parse
+from tuliptrack.config.textformat import ConfigError, read_text
+from tuliptrack.interface import Role
+from tuliptrack.proto import config_pb2, fleet_pb2
+
+ROOT = Path(__file__).parents[2]
+GOOD = """request_class { name: "a" aim_ms: 1000 deadline_ms: 5000 }
+kind { name: "r" role: READ }
+kind { name: "w" role: WRITE }
+servers { file: "x" }
+"""
+
+
+def problems(text: str) -> list[tuple[int, str]]:
+    with pytest.raises(ConfigError) as caught:
+        parse(text)
+    return [(p.line, p.field) for p in caught.value.problems]
+
+
+def test_a_small_file_takes_the_defaults_and_means_what_it_says() -> None:
+    found = parse(GOOD + "routing { drain_grace_ms: 250.5 }")
+    assert found.settings.roles == (Role.READ, Role.WRITE) and found.kinds == ("r", "w")
+    assert found.settings.classes[0].aim == 1_000_000
+    assert found.settings.drain_grace == 250_500
+    assert found.limits.open_requests == 20_000 and found.listen == "127.0.0.1:7400"
+
+
+def test_every_problem_is_told_at_once_with_its_line() -> None:
+    text = """node { slot: 4 replicas: 2
+  listen: "nowhere" }
+request_class { name: "a" aim_ms: -1 deadline_ms: 5000 worht: 2 }
+request_class { name: "a" aim_ms: 1000
+  deadline_ms: 10 effect: KEYED }
+kind { name: "r" role: READ }
+tenant { name: "" share: 0.9 quota_per_s: 1 }
+tenant { name: "t" share: nan quota_per_s: abc }
+routing { cold_from: 0
+  max_attempts: 999 max_attempts: 2 }
+servers { feed: "localhost" }
+"""
+    found = set(problems(text))
+    for expected in [(1, "node.slot"), (2, "node.listen"), (3, "request_class[0].worht"), (3, "request_class[0].aim_ms"),
+                     (4, "request_class[1].name"), (5, "request_class[1].deadline_ms"), (7, "tenant[0].name"),
+                     (8, "tenant[1].quota_per_s"), (8, "tenant[1].share"), (9, "routing.cold_from"),
+                     (10, "routing.max_attempts"), (11, "servers.feed")]:
+        assert expected in found, (expected, sorted(found))
+
+
+@pytest.mark.parametrize(("text", "line", "word"), [
+    ("", 1, "at least one"), (GOOD + "node {", 5, "ends inside"), (GOOD + "node { slot 1 }", 5, "Expected"),
+    (GOOD + "\n\nnode: 3", 7, "braces"), (GOOD + 'node { listen: 3 }', 5, "listen"),
+    (GOOD + "node { zone: 99999999999 }", 5, "zone"), (GOOD + "}", 5, ""), (GOOD + "\0", 5, ""),
+])
+def test_what_is_no_settings_text_is_told_with_its_line(text: str, line: int, word: str) -> None:
+    with pytest.raises(ConfigError) as caught:
+        parse(text)
+    first = caught.value.problems[0]
+    assert first.line == line and word in str(first)
+
+
+def test_lists_nested_blocks_comments_and_joined_strings_are_read() -> None:
+    message, located = read_text("""# a list
+version: 3 servers: [ { id: 1, address: "a" ':1' }, < id: 2; address: "b:2" > ]  # two
+servers { id: 3 state: DRAINING started_unix_us: -0 weight: 1.5e0 }""", fleet_pb2.ServerList)
+    assert not located.problems
+    assert [(e.id, e.address) for e in message.servers] == [(1, "a:1"), (2, "b:2"), (3, "")]
+    assert located.line("servers[2].state") == 3 and message.servers[2].weight == 1.5
+
+
+def test_each_default_stands_in_the_proto_as_in_the_program() -> None:
+    text = (ROOT / "tuliptrack" / "proto" / "config.proto").read_text()
+    for name, fields in DEFAULTS.items():
+        block = text.split(f"message {name} {{")[1].split("\n}")[0]
+        for field, default in fields.items():
+            comment = re.search(rf"((?:  //[^\n]*\n)+)  optional \S+ {field} = ", block)
+            assert comment, f"{name}.{field} has no comment"
+            told = re.search(r"Default:? ([\w.:]+?)[.:]?(?:\s|$)", comment.group(1) + "\n")
+            assert told, f"{name}.{field} tells no default"
+            kind = config_pb2.DESCRIPTOR.message_types_by_name[name].fields_by_name[field]
+            shown = (kind.enum_type.values_by_number[default].name if kind.enum_type else
+                     str(default).lower() if isinstance(default, bool) else "not" if default == "" else str(default))
+            assert told.group(1) == shown, f"{name}.{field}"
+
+
+def test_config_check_on_the_command_line(tmp_path: Path) -> None:
+    good = CliRunner().invoke(main, ["config", "check", str(ROOT / "examples" / "node.textproto")])
+    assert good.exit_code == 0 and "good" in good.output
+    load(ROOT / "examples" / "node.textproto")
+    bad = tmp_path / "bad"
+    bad.write_text(GOOD + "node { slot: 9 }\nlimits { tokens: -1 }")
+    told = CliRunner().invoke(main, ["config", "check", str(bad)])
+    assert told.exit_code == 2 and f"{bad}:5: node.slot:" in told.output and f"{bad}:6: limits.tokens:" in told.output
+    none = CliRunner().invoke(main, ["config", "check", str(tmp_path / "none")])
+    assert none.exit_code == 2 and "can't be read" in none.output
+    (tmp_path / "latin").write_bytes(b"node {\n# \xff\n}")
+    assert ":2:" in CliRunner().invoke(main, ["config", "check", str(tmp_path / "latin")]).output
--- a/tests/rpc/test_core.py
+++ b/tests/rpc/test_core.py
@@ -150,6 +150,12 @@
         assert not [e for e in peer.go(now=n * 100_000) if isinstance(e, Broken)]
 
 
+def test_a_frame_too_large_ends_the_connection_before_its_body_is_buffered() -> None:
+    core = Core(False)
+    events = core.receive(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff\xff\xff" + b"\0" * 6, 0)
+    assert isinstance(events[-1], Broken) and "frame" in events[-1].reason
+
+
 def test_headers_past_the_limit_are_turned_away() -> None:
     peer = Peer(Limits(max_header_bytes=2000))
     peer.ask(headers={"x": "y" * 4000})
--- a/tests/rpc/test_core_fuzz.py
+++ b/tests/rpc/test_core_fuzz.py
@@ -112,7 +112,8 @@
         if any(isinstance(e, Broken) for e in events):
             assert core.dead and not core.calls
             assert isinstance(events[-1], Broken)
-        assert core.receive(b"more", 0) == [] or not core.dead
+        if core.dead:
+            assert core.receive(b"more", 0) == []
         core.lost("test")
         assert not core.calls
 
--- /dev/null
+++ b/tests/test_hard_cases.py
@@ -0,0 +1,305 @@
+"""Hard cases of the running node, each caused on purpose, judged by what engines and clients saw."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+from world import GENERATE, World, run, until, world
+
+from tuliptrack.lab.engine import Engine
+from tuliptrack.node.requests import LEGAL, State
+from tuliptrack.proto import fleet_pb2, lab_pb2
+from tuliptrack.proto import generation_pb2 as pb
+from tuliptrack.rpc.channel import Channel, How, Options
+from tuliptrack.rpc.core import Core
+from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.status import Code
+
+LONG = "answer_least: 150 answer_most: 150 step_ms: 5"
+
+
+def states(w: World) -> int:
+    return sum(len(e.states) for e in w.engines.values())
+
+
+def test_a_client_that_leaves_while_its_state_waits_for_a_writer_lets_it_go() -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            w.engines["w0"].apply(lab_pb2.Trouble(pause_ms=5000))
+            w.engines["w0"].m["slots"] = 0  # It waits in the writer's queue; its state, at the reader.
+            one = w.ask()
+            await until(lambda: w.seen("call", kind="write"))
+            assert states(w) == 1 and one.call
+            left = now_us()
+            one.call.cancel()
+            await until(lambda: w.seen("let go"))
+            assert w.seen("let go")[0]["why"] == "released"
+            assert w.seen("let go")[0]["t"] - left < 300_000
+            await until(lambda: not w.node.table.open)
+
+    run(go)
+
+
+def test_a_reset_that_crosses_the_last_message_ends_the_request_once() -> None:
+    async def go() -> None:
+        async with world(model="answer_least: 3 answer_most: 3 step_ms: 1") as w:
+            asked = [w.ask() for _ in range(30)]
+
+            def leave_at_the_end(one: object) -> None:
+                for a in asked:
+                    if a.call and a.call.open and a.tokens and a.tokens[-1].finish_reason:
+                        a.call.cancel()
+
+            while not all(a.ends for a in asked):
+                leave_at_the_end(None)
+                await asyncio.sleep(0)
+            assert {a.end.how for a in asked} <= {How.STATUS, How.CANCELLED}
+            await until(lambda: not w.node.table.open)
+            ends = w.node.table.ends
+            assert ends[State.SERVED] + ends[State.LEFT] == 30 and states(w) == 0
+
+    run(go)
+
+
+def test_a_reader_that_dies_with_states_waiting_has_them_read_anew_elsewhere() -> None:
+    async def go() -> None:
+        async with world("r0 r1 w0", settings="routing { max_attempts: 8 }") as w:
+            w.engines["w0"].m["slots"] = 0
+            asked = [w.ask(session=f"s{n}", timeout=8) for n in range(12)]
+            await until(lambda: states(w) == 12)
+            dead = "r0" if w.engines["r0"].states else "r1"
+            lost = len(w.engines[dead].states)
+            assert lost
+            await w.engines[dead].stop()
+            w.engines["w0"].m["slots"] = 32
+            w.engines["w0"]._wake.set()
+            for one in asked:
+                assert (await one.wait()).status.code is Code.OK
+                one.check_tokens()
+            assert len(w.seen("kept")) == 12 + lost
+
+    run(go)
+
+
+def test_a_deadline_between_read_and_write_is_answered_in_time_and_lets_the_state_go() -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            w.engines["w0"].m["slots"] = 0
+            one = w.ask(timeout=0.8)
+            end = await one.wait()
+            assert (end.how, end.status.code) == (How.STATUS, Code.DEADLINE_EXCEEDED)
+            await until(lambda: w.seen("let go"))
+            assert w.seen("let go")[0]["why"] == "released"
+
+    run(go)
+
+
+def test_an_engine_that_goes_away_gracefully_ends_its_open_streams_first() -> None:
+    async def go() -> None:
+        async with world("r0 w0 w1", model=LONG) as w:
+            asked = [w.ask() for _ in range(6)]
+            await until(lambda: all(a.tokens for a in asked))
+            leaving = next(n for n in ("w0", "w1") if w.engines[n].writing)
+            stopping = asyncio.ensure_future(w.engines[leaving].server.stop(5))
+            await asyncio.sleep(0)
+            later = [w.ask() for _ in range(6)]
+            for one in asked + later:
+                assert (await one.wait()).status.code is Code.OK
+                one.check_tokens()
+            await stopping
+
+    run(go)
+
+
+def test_a_stream_runs_on_where_the_list_says_its_engine_is_gone() -> None:
+    async def go() -> None:
+        async with world("r0 w0 w1", model=LONG) as w:
+            one = w.ask()
+            await until(lambda: one.tokens)
+            name = next(n for n in ("w0", "w1") if w.engines[n].writing)
+            w.feed.change(w.entry(name, fleet_pb2.ServerEntry.GONE))
+            await until(lambda: len(w.node.roster.held) == 2)
+            others = [w.ask() for _ in range(8)]
+            for each in [one, *others]:
+                assert (await each.wait()).status.code is Code.OK
+                each.check_tokens()
+            assert len(w.seen("call", kind="write", engine=name)) == 1
+            await until(lambda: not w.node.engines._old)  # its channel ends once the stream has
+
+    run(go)
+
+
+def test_an_engine_that_starts_again_at_its_address_is_reached_anew() -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            assert (await w.ask().wait()).status.code is Code.OK
+            for name in ("r0", "w0"):
+                old = w.engines[name]
+                port = int(old.server.address.rpartition(":")[2])
+                await old.stop()
+                w.engines[name] = Engine(name, old.model, w.logs[name])
+                await w.engines[name].start(port=port)
+            for _ in range(3):
+                again = w.ask()
+                await again.wait()
+                if again.end.status.code is Code.OK:
+                    break
+                await asyncio.sleep(0.3)
+            assert again.end.status.code is Code.OK
+            again.check_tokens()
+
+    run(go)
+
+
+def test_a_peer_that_falls_silent_is_found_by_keepalive_and_ends_its_calls() -> None:
+    async def go() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)  # It accepts, reads nothing, says nothing.
+
+        server = await asyncio.start_server(silent, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        channel = Channel(f"127.0.0.1:{port}", Options(keepalive_after=100_000, keepalive_timeout=100_000))
+        over = asyncio.get_running_loop().create_future()
+        begun = time.monotonic()
+        channel.call("/x.Y/Z", message=b"", on_end=over.set_result)
+        end = await over
+        assert end.how is How.RESET and "keepalive" in end.status.message and time.monotonic() - begun < 3
+        await channel.close()
+        for writer in writers:
+            writer.close()
+        server.close()
+
+    run(go)
+
+
+def test_messages_behind_our_reset_are_dropped_and_the_connection_goes_on() -> None:
+    client, server = Core(True), Core(False)
+
+    def exchange() -> list[object]:
+        server.receive(client.take(), 0)
+        return list(client.receive(server.take(), 0))
+
+    one, two = client.start("/x.Y/Z"), client.start("/x.Y/Z")
+    exchange()
+    server.send(one, b"late" * 100)
+    server.send(two, b"fine")
+    client.reset(one)  # crosses what the server sends
+    seen = exchange()
+    assert [e.data for e in seen if hasattr(e, "data")] == [b"fine"]
+    assert not client.dead and list(client.calls) == [two]
+    exchange()
+    assert list(server.calls) == [two]
+
+
+@pytest.mark.parametrize("garbage", [
+    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + b"\0" * 64,
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 100,
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0" + b"\0\0\4\0\0\0\0\0\1gggg", b""])
+def test_broken_http2_ends_its_own_connection_and_disturbs_no_other(garbage: bytes) -> None:
+    async def go() -> None:
+        async with world("r0 w0", model=LONG) as w:
+            neighbour = w.ask()
+            await until(lambda: neighbour.tokens)
+            host, port = w.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(garbage)
+            if not garbage:
+                writer.write_eof()
+            await asyncio.wait_for(reader.read(-1), 5)  # The node ends it.
+            writer.close()
+            await until(lambda: len(w.node.server.links) == 1)
+            assert (await neighbour.wait()).status.code is Code.OK
+            neighbour.check_tokens()
+
+    run(go)
+
+
+def test_calls_opened_and_reset_in_a_loop_cost_their_own_connection_only() -> None:
+    async def go() -> None:
+        async with world("r0 w0", model=LONG) as w:
+            neighbour = w.ask()
+            flooder = Channel(w.address, Options(connect_timeout=2_000_000, max_links=1))
+            request = pb.GenerateRequest(request_class="question", tenant="south", prompt="x", prompt_tokens=1)
+            for n in range(6000):
+                call = flooder.call(GENERATE, message=request.SerializeToString())
+                if n % 50 == 0:
+                    await asyncio.sleep(0)
+                call.cancel()
+                if flooder.connects > 1:
+                    break
+            await until(lambda: w.node.server.broken >= 1)
+            await flooder.close()
+            assert (await neighbour.wait()).status.code is Code.OK
+            await until(lambda: not w.node.table.open and w.node.server.open_calls() == 0)
+
+    run(go)
+
+
+def test_a_malformed_load_report_is_left_out_and_the_answer_served(capsys: pytest.CaptureFixture[str]) -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            for engine in w.engines.values():
+                engine.report = (now_us() + 60_000_000, b"\xff\xff\xff")
+            one = w.ask()
+            assert (await one.wait()).status.code is Code.OK
+            assert all(seat.told_at == 0 for seat in w.node.router.seats.values())
+
+    run(go)
+    assert "load report not taken" in capsys.readouterr().out
+
+
+def test_a_malformed_list_is_turned_down_whole_and_the_old_one_holds(capsys: pytest.CaptureFixture[str]) -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            good = w.entry("r0")
+            bad = fleet_pb2.ServerEntry(id=9, address="nowhere", kind="reader")
+            w.feed.push(fleet_pb2.ServerList(kind=fleet_pb2.ServerList.FULL, version=99, servers=[good, bad]))
+            assert (await w.ask().wait()).status.code is Code.OK
+            assert len(w.node.roster.held) == 2
+
+    run(go)
+    assert "servers[1].address" in capsys.readouterr().out
+
+
+def test_shutdown_under_load_ends_every_stream_once() -> None:
+    async def go() -> None:
+        async with world(model=LONG) as w:
+            asked = [w.ask(timeout=20) for _ in range(60)]
+            await until(lambda: sum(bool(a.tokens) for a in asked) > 20)
+            await w.node.stop(0.1)
+            for one in asked:
+                await one.wait()
+                one.check_tokens()
+            assert w.node.server.open_calls() == 0 and not w.node.table.open
+            await until(lambda: states(w) == 0 and not any(e.jobs for e in w.engines.values()))
+
+    run(go)
+
+
+def test_the_end_states_are_final_and_every_state_is_in_the_table() -> None:
+    assert set(LEGAL) == set(State)
+    for end in (State.SERVED, State.REFUSED, State.FAILED, State.LEFT):
+        assert not LEGAL[end]
+    assert all(LEGAL[s] & {State.FAILED, State.LEFT} for s in State if LEGAL[s])
+
+
+def test_the_last_list_is_kept_for_a_restart_without_its_feed() -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            await until(lambda: w.node._saver is not None and w.node._saver.done())
+            await w.node.stop(0)
+            await w.channel.close()
+            await w.feed.stop()
+            node = type(w.node)(w.node.config)
+            w.node = node
+            w.address = await node.start()
+            w.channel = Channel(w.address, Options(connect_timeout=2_000_000))
+            assert len(node.roster.held) == 2
+            one = w.ask()
+            assert (await one.wait()).status.code is Code.OK
+
+    run(go)
--- a/tuliptrack/config/node.py
+++ b/tuliptrack/config/node.py
@@ -27,7 +27,7 @@
                            "effect": pb.SAFE, "key_scope": pb.ALL, "dedup_window_ms": 0},
     "KindConfig": {"memory_tokens": 0},
     "TenantConfig": {"share": 0},
-    "Routing": {"max_attempts": 4, "over_share_worth": 0.1, "release_within_ms": 300, "drain_grace_ms": 500,
+    "Routing": {"max_attempts": 5, "over_share_worth": 0.1, "release_within_ms": 300, "drain_grace_ms": 500,
                 "cold_for_ms": 12000, "cold_from": 0.25, "fall_multiple": 2.5, "fall_window_ms": 3000,
                 "writers_read": True, "may_resume": True, "max_retry_after_ms": 500, "far_price": 0},
     "ServerSource": {"cache": "", "poll_ms": 100},
--- a/tuliptrack/rpc/core.py
+++ b/tuliptrack/rpc/core.py
@@ -171,6 +171,10 @@
         self.status = Status(code, message)
 
 
+class _FrameTooLarge(Exception):
+    """A frame longer than we allow."""
+
+
 class _Bucket:
     """So many at once, refilled by time (microseconds)."""
 
@@ -316,6 +320,8 @@
         except h2.exceptions.ProtocolError as error:  # h2 has its own GOAWAY ready
             code = getattr(error, "error_code", ErrorCodes.PROTOCOL_ERROR)
             return self._break(events, code, str(error) or type(error).__name__, told=True)
+        except _FrameTooLarge as error:
+            return self._break(events, ErrorCodes.FRAME_SIZE_ERROR, str(error))
         except Exception as error:  # h2 and hpack let some of Python's own out on garbage
             return self._break(events, ErrorCodes.PROTOCOL_ERROR, f"{type(error).__name__}: {error}")
         if self._late:
@@ -338,8 +344,8 @@
             size = data[at] << 16 | data[at + 1] << 8 | data[at + 2]
             after = at + 9 + size
             if size > self.h2.max_inbound_frame_size:
-                at = end  # h2 says what is wrong with it.
-                break
+                # h2 says so only once it has buffered the whole of it, up to 16 MiB.
+                raise _FrameTooLarge(f"frame of {size} bytes, {self.h2.max_inbound_frame_size} allowed")
             if after > end:
                 break
             if not data[at + 3] and not data[at + 4]:
