--- /dev/null
+++ b/bench/decisions.py
@@ -0,0 +1,87 @@
+"""Time of one decision (`Router.handle` with one event) at a given number of servers, by kind of event.
+
+In process, against engines that answer after drawn times; not in CI. Usage: python bench/decisions.py [--servers 190]
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+from collections import defaultdict
+
+import click
+
+from tuliptrack.brain import Router
+from tuliptrack.interface import (
+    FleetChange,
+    ListKind,
+    Outcome,
+    Request,
+    RequestClass,
+    Role,
+    Send,
+    Server,
+    Settings,
+    Started,
+    Status,
+    Tenant,
+)
+
+
+@click.command()
+@click.option("--servers", default=190)
+@click.option("--requests", default=20_000)
+@click.option("--per-s", default=800.0, help="Arrivals a second at this node.")
+def main(servers: int, requests: int, per_s: float) -> None:
+    chance = random.Random(1)
+    settings = Settings(
+        replicas=4, roles=(Role.READ, Role.WRITE), may_cancel=True, max_attempts=5,
+        classes=(RequestClass("question", 1.0, 1_200_000, 5_000_000), RequestClass("summary", 2.0, 2_500_000, 12_000_000)),
+        tenants=(Tenant("a", 0.5, 4 * per_s), Tenant("b", 0.5, 4 * per_s)),
+        report_fields=("in_flight", "memory_share", "tokens_waiting_k"))
+    router = Router(settings, 1)
+    fleet = tuple(Server(n, n % 2, cell=n // 8) for n in range(1, servers + 1))
+    took: dict[str, list[float]] = defaultdict(list)
+    queue: list[tuple[int, int, object]] = [(1_000_000, 0, FleetChange(ListKind.FULL, 1, fleet))]
+    tie = itertools.count(1)
+    at = 1_000_000
+    for number in range(1, requests + 1):
+        at += int(chance.expovariate(per_s) * 1e6)
+        prefix = int(200 * chance.random() ** 2) + 1
+        heapq.heappush(queue, (at, next(tie), Request(
+            number, int(chance.random() < 0.2), 5_000_000, 3000.0, 2500.0, 200.0, chance.getrandbits(40), prefix,
+            int(chance.random() < 0.5))))
+    tries: dict[int, int] = defaultdict(int)
+    ends: dict[str, int] = defaultdict(int)
+    while queue:
+        now, _, event = heapq.heappop(queue)
+        begun = time.perf_counter()
+        actions = router.handle(now, [event])  # type: ignore[list-item]
+        took[type(event).__name__].append(time.perf_counter() - begun)
+        for action in actions:
+            ends[type(action).__name__] += 1
+            if not isinstance(action, Send):
+                continue
+            attempt, tries[action.id] = tries[action.id], tries[action.id] + 1
+            load = (float(chance.randrange(12)), chance.random() * 0.5, chance.random())
+            if action.server % 2 == 0:
+                lag = int(30_000 + chance.expovariate(1 / 40_000))
+                heapq.heappush(queue, (now + lag, next(tie), Outcome(
+                    action.id, attempt, action.server, Status.READ, lag, kept_tokens=2000, load=load)))
+            else:
+                lag = int(20_000 + chance.expovariate(1 / 20_000))
+                heapq.heappush(queue, (now + lag, next(tie), Started(action.id, attempt, action.server, lag)))
+                heapq.heappush(queue, (now + lag + 3_000_000, next(tie), Outcome(
+                    action.id, attempt, action.server, Status.OK, lag + 3_000_000, over=True, load=load)))
+    click.echo(f"{servers} servers, {requests} requests at {per_s:g} a second; actions {dict(ends)}")
+    click.echo(f"{'event':12} {'count':>7} {'median us':>10} {'p99 us':>8} {'most us':>8}")
+    for name, times in took.items():
+        times.sort()
+        click.echo(f"{name:12} {len(times):7} {times[len(times) // 2] * 1e6:10.0f} {times[len(times) * 99 // 100] * 1e6:8.0f} "
+                   f"{times[-1] * 1e6:8.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/tuliptrack/config/node.py
+++ b/tuliptrack/config/node.py
@@ -222,6 +222,8 @@
         idle=engines.time("idle_ms"))
     listen = _address(node, "listen", node.value("listen"), any_port=True)
     peers = tuple(_address(node, "peer", peer) for peer in file.node.peer)
+    if peers and len(peers) != replicas:
+        node.wrong("peer", f"must name every node ({replicas}) or none, names {len(peers)}")
     grace = node.time("shutdown_grace_ms")
     located.check()
     settings = Settings(classes=request_classes, roles=roles, may_cancel=True, may_probe=True, may_hold_ahead=True,
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -553,7 +553,7 @@
     def _tell_peers(self, action: io.TellPeers) -> None:
         message = fleet_pb2.PeerBytes(sender=self.settings.slot, data=action.data).SerializeToString()
         for number, channel in enumerate(self.peers):
-            if action.peer in (None, number):
+            if number != self.settings.slot and action.peer in (None, number):
                 channel.call("/tuliptrack.v1.Peers/Tell", message=message, timeout=_SHORT_CALL)
 
     def _install_peers(self) -> None:
