Cross-zone traffic, whole path: budget by turns, price in spill and writer pick, exact account

Issue of zones, first whole path. decisions/zones.py deals a budget of bytes out in turns numbered on shared time, so that all nodes together choose at most rate x W + burst + quantum in any window, whatever their number, traffic and restarts (property test over drawn sequences). The router asks it for the price of a crossing where it spills and picks a writer, looks at other zones before it refuses worth, and says with each Send why it may cross; one zone decides as before (traces compared).

--- a/tests/config/test_node_config.py
+++ b/tests/config/test_node_config.py
@@ -69,6 +69,21 @@
     assert first.line == line and word in str(first)
 
 
+def test_zones_and_their_budgets_are_checked() -> None:
+    found = parse(GOOD + '''zones { name: "a" name: "b" budget { bytes_per_s: 1000 burst_bytes: 90000 request_class: "a" }
+      budget { bytes_per_s: 5 burst_bytes: 50000 quantum_bytes: 30000 } }''')
+    assert [(b.quantum, b.classes) for b in found.settings.zone_budgets] == [(9000, {0}), (30000, set())]
+    assert found.zones.names == ("a", "b") and found.settings.state_bytes == 16
+    assert problems(GOOD + """node { zone: 2 }
+zones { name: "a" name: "a"
+  budget { bytes_per_s: 1 burst_bytes: 21999 }
+  budget { bytes_per_s: 1 burst_bytes: 99999 request_class: "huh" }
+  budget { burst_bytes: 99999 quantum_bytes: 100000 } }""") == [
+        (5, "node.zone"), (6, "zones.name"), (7, "zones.budget[0].request_class"), (7, "zones.budget[0].burst_bytes"),
+        (8, "zones.budget[1].request_class"), (9, "zones.budget[2].bytes_per_s"), (9, "zones.budget[2].quantum_bytes")]
+    assert problems(GOOD + "zones { state_bytes_per_token: -1 }") == [(5, "zones.state_bytes_per_token")]
+
+
 def test_lists_nested_blocks_comments_and_joined_strings_are_read() -> None:
     message, located = read_text("""# a list
 version: 3 servers: [ { id: 1, address: "a" ':1' }, < id: 2; address: "b:2" > ]  # two
--- /dev/null
+++ b/tests/decisions/test_zones.py
@@ -0,0 +1,191 @@
+"""The budget of crossings: its bound over all nodes, its prices, and what the router makes of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from helpers import MS, READ, WRITE, S, World, fleet, only, server, settings, world
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+
+from tuliptrack.decisions.zones import PRICE_EMPTY, PRICE_FULL, Crossings
+from tuliptrack.interface import Action, Cause, Outcome, Refuse, Send, Started, Status, ZoneBudget
+
+MOVES = st.lists(st.tuples(st.integers(0, 400_000), st.integers(0, 11), st.integers(1, 30_000), st.integers(0, 100)),
+                 min_size=1, max_size=150)
+
+
+def crossings(replicas: int, slot: int, budget: ZoneBudget, offset: int = 0) -> Crossings:
+    return Crossings(settings(replicas=replicas, slot=slot, zone_budgets=(budget,), epoch_offset=offset))
+
+
+@examples(max_examples=150, deadline=None, derandomize=True)
+@given(st.integers(1, 12), st.integers(1, 60), st.integers(10_000, 60_000), st.integers(1, 6), MOVES,
+       st.lists(st.integers(0, 40_000_000), max_size=12), st.integers(0, 3_000_000))
+def test_all_nodes_together_stay_within_rate_burst_and_a_turn_in_every_window(
+        replicas: int, rate_kb: int, quantum: int, turns: int, moves: list[tuple[int, int, int, int]],
+        births: list[int], epoch: int) -> None:
+    """Whatever is asked where and when, with nodes that start again in between, and clocks with offsets of their own."""
+    budget = ZoneBudget(rate_kb * 1000.0, float(quantum * turns), float(quantum))
+    offsets = [epoch + 1_000 * slot for slot in range(replicas)]  # each node's own clock starts elsewhere
+    nodes = [crossings(replicas, slot, budget, offsets[slot]) for slot in range(replicas)]
+    at, sent = 50_000_000, []
+    for number, (gap, who, size, done) in enumerate(moves):
+        at += gap
+        slot = who % replicas
+        if any(at - gap < birth + 50_000_000 <= at for birth in births):
+            nodes[slot] = crossings(replicas, slot, budget, offsets[slot])
+        cause = nodes[slot].reserve(at - offsets[slot], number, 0, float(size), retry=False)
+        if cause is Cause.BUDGET:
+            sent.append((at, float(size)))
+        actual = size * done / 100 if done < 90 else size
+        nodes[slot].settle(at - offsets[slot], number, actual if cause is Cause.BUDGET else 0.0)
+        if cause is Cause.BUDGET:
+            sent[-1] = (at, actual)
+        assert not nodes[slot].open
+    for first, (start, _) in enumerate(sent):
+        total = 0.0
+        for end, size_sent in sent[first:]:
+            total += size_sent
+            assert total <= budget.bytes_per_s * (end - start) / 1e6 + budget.burst + budget.quantum + 1e-6
+
+
+def test_many_nodes_share_a_budget_of_less_than_a_request_each_and_none_is_starved() -> None:
+    """190 nodes, one request of 20,000 bytes every 100 ms for all of them: each gets its turn, none gets two."""
+    budget = ZoneBudget(200_000.0, 40_000.0, 20_000.0)
+    nodes = [crossings(190, slot, budget) for slot in range(190)]
+    used = [0] * 190
+    for at in range(10_000_000, 10_000_000 + 2 * 19_000_000, 10_000):
+        for slot, node in enumerate(nodes):
+            if node.reserve(at, at, 0, 20_000.0, retry=False) is Cause.BUDGET:
+                used[slot] += 1
+            else:
+                node.settle(at, at, 0.0)
+    assert min(used) >= 1 and max(used) <= 3 and sum(used) <= 200_000 * 38 / 20_000 + 3
+
+
+def test_what_was_not_sent_goes_back_and_what_was_sent_beyond_is_paid_later() -> None:
+    budget = ZoneBudget(1_000_000.0, 400_000.0, 100_000.0)
+    node = crossings(1, 0, budget)
+    assert node.purses[0].left(10 * S) == 0.0  # born now: what came before may have been used
+    assert node.purses[0].left(11 * S) == 400_000.0
+    assert node.reserve(11 * S, 1, 0, 300_000.0, retry=False) is Cause.BUDGET
+    assert node.purses[0].left(11 * S) == 100_000.0
+    node.settle(11 * S, 1, 50_000.0)
+    assert node.purses[0].left(11 * S) == 350_000.0
+    assert node.reserve(11 * S, 2, 0, 10_000.0, retry=True) is Cause.RETRY
+    node.settle(11 * S, 2, 500_000.0)  # far more than was thought: turns to come pay
+    assert node.purses[0].left(11 * S) == 0.0
+    assert node.purses[0].left(11 * S + 150 * MS) == 0.0
+    assert node.purses[0].left(12 * S) > 0
+    assert node.reserve(12 * S, 3, 0, 900_000.0, retry=False) is Cause.FORCED
+    node.settle(12 * S, 3, 0.0)
+    assert not node.open
+
+
+def test_the_price_rises_as_the_budget_runs_out_and_low_worth_finds_it_dearer() -> None:
+    node = crossings(1, 0, ZoneBudget(1_000_000.0, 400_000.0, 40_000.0))
+    node.purses[0].left(10 * S)
+    prices = []
+    for number in range(10):
+        prices.append(node.price(11 * S, 0, 40_000.0, 1.0))
+        node.reserve(11 * S, number, 0, 40_000.0, retry=False)
+    assert prices == sorted(prices) and prices[0] == PRICE_FULL
+    assert node.price(11 * S, 0, 40_000.0, 1.0) == PRICE_EMPTY
+    assert node.price(11 * S, 0, 40_000.0, 0.5) == 2 * PRICE_EMPTY
+    assert node.price(11 * S, 0, 0.0, 0.1) == 0.0
+
+
+def test_a_class_is_counted_by_its_own_budget_and_others_by_that_for_all() -> None:
+    own, rest = ZoneBudget(1e6, 1e5, 1e4, frozenset({1})), ZoneBudget(1e6, 2e5, 1e4)
+    node = Crossings(settings(zone_budgets=(own, rest)))
+    assert node.purse(1) is node.purses[0] and node.purse(0) is node.purses[1]
+    with pytest.raises(ValueError, match="quantum"):
+        ZoneBudget(1.0, 5.0, 6.0)
+
+
+# ---------------------------------------------------------------- the router
+
+BUDGET: dict[str, Any] = {"zone_budgets": (ZoneBudget(1_000_000.0, 400_000.0, 50_000.0),), "prompt_bytes": 6.0,
+                          "state_bytes": 16.0, "answer_bytes": 24.0, "replicas": 1}
+
+
+def play(w: World, seed: int, count: int = 400) -> list[Action]:
+    """A drawn run of requests through both stages; what the router said."""
+    chance = random.Random(seed)
+    out: list[tuple[int, Send]] = []
+    for _ in range(count):
+        _, said = w.ask(after=chance.randrange(8 * MS), prefix=chance.randrange(5), cls=chance.randrange(2))
+        out += [(w.now, a) for a in said if isinstance(a, Send)]
+        while out and chance.random() < 0.7:
+            sent, send = out.pop(chance.randrange(len(out)))
+            lag = w.now - sent + 20 * MS
+            if w.router.seats[send.server].role.value == "read":
+                said = w.tell(Outcome(send.id, w.tries[send.id], send.server, Status.READ, lag, load=(1.0, 0.2)))
+            elif chance.random() < 0.1:
+                said = w.tell(Outcome(send.id, w.tries[send.id], send.server, Status.FULL, lag))
+            else:
+                w.tell(Started(send.id, w.tries[send.id], send.server, lag))
+                said = w.tell(Outcome(send.id, w.tries[send.id], send.server, Status.OK, lag, over=True))
+            out += [(w.now, a) for a in said if isinstance(a, Send)]
+    return w.said
+
+
+def test_where_there_is_one_zone_a_budget_changes_nothing() -> None:
+    for seed in range(4):
+        plain = play(world(seed=seed, replicas=1), seed)
+        counted = play(world(seed=seed, **BUDGET), seed)
+        assert plain == counted and len(plain) > 400
+
+
+def test_homes_lie_in_the_nodes_zone_while_it_serves_and_elsewhere_when_nothing_else_is_left() -> None:
+    near, far = fleet(3, 3), [replace(s, id=s.id + 50, zone=1) for s in fleet(3, 3)]
+    w = world([*near, *far], **BUDGET)
+    for _ in range(30):
+        _, said = w.ask(after=200 * MS)
+        send = only(Send, said)
+        assert send.server < 50 and send.crossing is None
+        written = only(Send, w.end(send.id, send.server, Status.READ))
+        assert written.server < 50 and written.crossing is None
+        w.end(send.id, written.server, Status.OK, over=True)
+    w.list(*(replace(s, state=type(s.state).GONE) for s in near if s.kind == READ))
+    causes = []
+    for _ in range(40):
+        _, said = w.ask(after=20 * MS)
+        if not said or isinstance(said[0], Refuse):
+            continue
+        send = only(Send, said)
+        assert send.server > 50
+        causes.append(send.crossing)
+        # Its state is at a reader there: to write there too moves the answer back, to write here the state.
+        written = only(Send, w.end(send.id, send.server, Status.READ, crossed=6000.0))
+        w.start(send.id, written.server)
+        w.end(send.id, written.server, Status.OK, over=True, crossed=3000.0)
+    assert causes[0] is Cause.BUDGET and len(causes) > 20
+
+
+def test_serving_comes_before_the_budget_and_is_booked_as_forced() -> None:
+    far = [server(60, READ, zone=1), server(61, WRITE, zone=1)]
+    w = world(far, **{**BUDGET, "zone_budgets": (ZoneBudget(0.0, 50_000.0, 50_000.0),)})
+    for _ in range(10):
+        _, said = w.ask(after=200 * MS)
+        assert only(Send, said).crossing is Cause.FORCED
+        w.end(w.ids, 60, Status.ERROR)
+
+
+def test_states_stay_in_their_zone_until_its_writers_are_that_much_fuller() -> None:
+    pool = [server(10, READ), server(11, WRITE), server(12, WRITE, zone=1)]
+    for budget, crossing in ((1e6, True), (0.0, False)):
+        w = world(pool, **{**BUDGET, "zone_budgets": (ZoneBudget(budget, 400_000.0, 50_000.0),)})
+        went = set()
+        for _ in range(6):
+            _, said = w.ask(after=400 * MS, max_tokens=400.0, cls=1)
+            read = only(Send, said)
+            sent = [a for a in w.end(read.id, read.server, Status.READ) if isinstance(a, Send)]
+            went.add(sent[0].server)  # answers go on: the own writer fills
+            w.start(read.id, sent[0].server)
+        assert (12 in went) is crossing, (budget, went)
--- a/tests/world.py
+++ b/tests/world.py
@@ -103,6 +103,7 @@
         self.channel: Channel
         self.address = ""
         self.names = 0
+        self.zones: dict[str, int] = {}
 
     def seen(self, what: str = "", **facts: object) -> list[dict[str, Any]]:
         """What engines saw, in time's order."""
@@ -114,7 +115,7 @@
               **more: Any) -> fleet_pb2.ServerEntry:
         number = list(self.engines).index(name) + 1
         return fleet_pb2.ServerEntry(id=number, address=self.engines[name].server.address, kind=KINDS[name[0]][0],
-                                     state=state, **more)
+                                     state=state, zone=self.zones.get(name, 0), **more)
 
     def ask(self, prompt: str = "", timeout: float | None = 10, **fields: Any) -> Asked:
         """Start a call; see `Asked` for what comes of it."""
@@ -136,10 +137,11 @@
 
 @asynccontextmanager
 async def world(engines: str = "r0 r1 w0 w1", settings: str = "", model: str = "", start: bool = True,
-                quota: float = 1000) -> AsyncIterator[World]:
+                quota: float = 1000, zones: dict[str, int] | None = None) -> AsyncIterator[World]:
     """Engines by name (r, w, m: their kind), with changes to the model in text format, settings to add, and what
-    each tenant may ask a second."""
+    each tenant may ask a second; `zones` puts engines into zones other than 0."""
     made = World()
+    made.zones = zones or {}
     with tempfile.TemporaryDirectory() as folder:
         for name in engines.split():
             made.logs[name] = io.StringIO()
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -15,6 +15,7 @@
 from statistics import median_low
 from typing import Any
 
+from tuliptrack.decisions.zones import Crossings
 from tuliptrack.interface import (
     Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Log, Outcome, Refuse,
     Release, Request, Role, Send, SetTimer, Settings, Started, Status, Subscribe, Timer,
@@ -78,6 +79,7 @@
         self.acts: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Started: self._started, FleetChange: self._listed,
             ClientGone: self._client_gone, Timer: lambda _: self.out.append(Subscribe(True))}
+        self.zones = Crossings(settings) if settings.zone_budgets else None
         self.has_depth = "in_flight" in settings.report_fields
         self.top_worth = max(c.worth for c in settings.classes)
         self.low_worth = min(c.worth for c in settings.classes)
@@ -114,8 +116,11 @@
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
         self.gap += SMOOTHING * (self.now - (self.arrived_at or self.now) - self.gap)
         self.arrived_at = self.now
-        reader = self._pick_reader(flight)
-        refuse = self._outlook(flight, reader) > tier * QUEUE_THRESHOLD * aim
+        reader, most = self._pick_reader(flight), tier * QUEUE_THRESHOLD * aim
+        refuse = self._outlook(flight, reader) > most
+        # Serving comes before the budget: the best reader of another zone is looked at before a refusal.
+        if refuse and self.zones and tier >= 1 and (far := self._spill(flight, self._far(flight), 0.0)):
+            refuse, reader = self._outlook(flight, far) > most, far
         self.refused_at = self.now if refuse else self.refused_at
         self._note("refusing by worth", self.now - self.refused_at < CALM_US)
         self._send(flight, None if refuse else reader)
@@ -161,15 +166,47 @@
         request = flight.request
         order = self._order(request.prefix or request.session)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
-        count = max(1, int(HOME_SHARE * self.unseen * len(order))) if request.prefix else 1
+        own = sum(not self._abroad(s) for s in order) if self.zones else 0
+        count = max(1, int(HOME_SHARE * self.unseen * (own or len(order)))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
         # A session stays at one of its prefix's homes, whichever node it comes through; a turn would lapse.
-        home = max(seats[:count], key=lambda s: (self._cold_turn(s, flight), self._rank(request.session, s)))
+        homes = [s for s in seats[:count] if not self._abroad(s)] or seats[:count]
+        home = max(homes, key=lambda s: (self._cold_turn(s, flight), self._rank(request.session, s)))
         if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
             return home
-        return min(seats, key=lambda s: ((self._depth(s) + 1) * self._latency(s), self.random.random()))
+        far = [s for s in self._far(flight) if s not in seats] if self.zones else []
+        return self._spill(flight, seats + far, 1.0)
+
+    def _spill(self, flight: Flight, seats: list[Seat], priced: float) -> Seat | None:
+        """The lowest score; a reader of another zone scores worse by the price of what would cross."""
+        def score(seat: Seat) -> float:
+            return (self._depth(seat) + 1) * self._latency(seat) * (1 + priced * self._price(flight, seat))
+
+        return min(seats, default=None, key=lambda s: (score(s), self.random.random()))
+
+    def _far(self, flight: Flight) -> list[Seat]:
+        """Readers of other zones among which to spill, in this prefix's hash order."""
+        order = self._order(flight.request.prefix or flight.request.session)
+        return self._pool([s for s in order if self._abroad(s)], flight, SPILL_HOMES)
+
+    def _abroad(self, seat: Seat) -> bool:
+        """Whether a server lies in another zone, where crossings are counted."""
+        return self.zones is not None and seat.info.zone != self.settings.zone
+
+    def _crossing(self, flight: Flight, seat: Seat) -> float:
+        """Bytes that an attempt there would move between zones: prompt, state, and the answer back."""
+        if self.zones is None:
+            return 0.0
+        held = flight.held.info.zone if flight.held and seat.role is not Role.READ else None
+        return self.zones.size(flight.request, seat.info.zone, held, seat.role is not Role.READ, flight.cost)
+
+    def _price(self, flight: Flight, seat: Seat) -> float:
+        if self.zones is None:
+            return 0.0
+        size, worth = self._crossing(flight, seat), flight.cls.worth / self.top_worth
+        return self.zones.price(self.now, flight.request.cls, size, worth)
 
     def _order(self, key: int) -> list[Seat]:
         """The ready readers in this key's hash order, kept until the list changes: ranking is dear."""
@@ -177,7 +214,8 @@
         if key not in orders:
             if len(orders) >= ORDERS_KEPT:
                 orders.clear()
-            orders[key] = sorted(self.fleet.ready(Role.READ), key=lambda s: -self._rank(key, s))
+            orders[key] = sorted(self.fleet.ready(Role.READ),
+                                 key=lambda s: (self._abroad(s), -self._rank(key, s)))
         return orders[key]
 
     def _rank(self, key: int, seat: Seat) -> float:
@@ -224,6 +262,9 @@
             return None
         bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
         loads = {s.info.id: self._load(s) for s in pool if s.memory <= bound}
+        if self.zones:  # A crossing weighs so many mean loads more.
+            mean = max(sum(loads.values()) / len(loads), flight.cost)
+            loads = {i: load + mean * self._price(flight, self.seats[i]) for i, load in loads.items()}
         most = min(loads.values()) + NEAR_TIE * sum(loads.values()) / len(loads)
         near = [s for s in pool if loads.get(s.info.id, math.inf) <= most]
         cell = flight.held.info.cell if flight.held else None
@@ -356,7 +397,9 @@
         for key in self._keys(flight) if seat.blamed else ():
             if key in seat.blamed:  # This is its trial: the next waits anew.
                 seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
-        self.out.append(Send(request.id, seat.info.id, self._patience(flight, seat)))
+        cause = self.zones.reserve(self.now, request.id, request.cls, self._crossing(flight, seat),
+                                   bool(flight.tried)) if self.zones else None
+        self.out.append(Send(request.id, seat.info.id, self._patience(flight, seat), cause))
 
     def _started(self, event: Started) -> None:
         flight = self.flights.get(event.id)
@@ -391,6 +434,8 @@
 
     def _outcome(self, event: Outcome) -> None:
         flight = self.flights.get(event.id)
+        if self.zones:
+            self.zones.settle(self.now, event.id, event.crossed)
         told = self.seats.get(event.server)
         if told and event.load:
             told.told(dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
--- a/tuliptrack/cli/main.py
+++ b/tuliptrack/cli/main.py
@@ -7,6 +7,7 @@
 from tuliptrack.cli.call import call
 from tuliptrack.cli.config import config
 from tuliptrack.cli.lab import lab
+from tuliptrack.cli.report import report
 from tuliptrack.cli.serve import serve
 
 __all__ = ["main"]
@@ -22,3 +23,4 @@
 main.add_command(config)
 main.add_command(call)
 main.add_command(lab)
+main.add_command(report)
--- a/tuliptrack/config/node.py
+++ b/tuliptrack/config/node.py
@@ -15,10 +15,11 @@
 from google.protobuf.message import Message
 
 from tuliptrack.config.textformat import Located, read_file, read_text
-from tuliptrack.interface import Effect, KeyScope, RequestClass, Role, Settings, Tenant
+from tuliptrack.interface import Effect, KeyScope, RequestClass, Role, Settings, Tenant, ZoneBudget
 from tuliptrack.proto import config_pb2 as pb
 
-__all__ = ["EngineOptions", "NodeConfig", "NodeLimits", "SourceOptions", "load", "parse"]
+__all__ = ["EngineOptions", "NodeConfig", "NodeLimits", "SourceOptions", "ZoneOptions", "load",
+           "parse"]
 
 DEFAULTS: dict[str, dict[str, Any]] = {
     "Node": {"listen": "127.0.0.1:7400", "slot": 0, "replicas": 1, "zone": 0, "seed": 0, "shutdown_grace_ms": 10000,
@@ -34,6 +35,9 @@
     "Limits": {"open_requests": 20000, "connections": 4096, "streams_per_connection": 2000, "message_bytes": 4194304,
                "header_bytes": 16384, "tokens": 1048576, "bytes_per_token": 4, "answer_bytes": 32768,
                "answer_ahead_ms": 50, "client_stall_ms": 30000},
+    "Zones": {"prompt_bytes_per_token": 6, "state_bytes_per_token": 16, "answer_bytes_per_token": 24, "report": "",
+              "report_every_ms": 10000, "report_bytes": 67108864},
+    "ZoneBudgetConfig": {"quantum_bytes": 0},
     "Engines": {"connect_timeout_ms": 250, "keepalive_after_ms": 10000, "keepalive_timeout_ms": 5000,
                 "connections": 4, "token_silence_ms": 15000, "idle_ms": 60000},
 }
@@ -89,6 +93,17 @@
     """Microseconds."""
 
 
+@dataclass(frozen=True)
+class ZoneOptions:
+    """Names of zones by number (may be none), and the file for what has crossed (may be empty)."""
+
+    names: tuple[str, ...] = ()
+    report: str = ""
+    report_every: int = 10_000_000
+    """Microseconds."""
+    report_bytes: int = 67_108_864
+
+
 @dataclass(frozen=True)
 class NodeConfig:
     """All that a node is told at its start."""
@@ -105,6 +120,7 @@
     limits: NodeLimits = field(default_factory=NodeLimits)
     engines: EngineOptions = field(default_factory=EngineOptions)
     source: SourceOptions = field(default_factory=SourceOptions)
+    zones: ZoneOptions = field(default_factory=ZoneOptions)
 
 
 def load(path: str | Path) -> NodeConfig:
@@ -224,13 +240,14 @@
     peers = tuple(_address(node, "peer", peer) for peer in file.node.peer)
     if peers and len(peers) != replicas:
         node.wrong("peer", f"must name every node ({replicas}) or none, names {len(peers)}")
+    zones, crossing = _zones(block(file.zones, "zones"), file.zones, class_names, kept["zone"])
     grace = node.time("shutdown_grace_ms")
     located.check()
     settings = Settings(classes=request_classes, roles=roles, may_cancel=True, may_probe=True, may_hold_ahead=True,
                         may_advise_retry=True, report_fields=REPORT_FIELDS, must_subscribe=bool(source.feed),
-                        **kept)  # type: ignore[arg-type]
+                        **kept, **crossing)  # type: ignore[arg-type]
     return NodeConfig(settings, kind_names, listen, int(node.value("seed")), grace,
-                      node.value("log_format") == pb.JSON, peers, limits, options, source)
+                      node.value("log_format") == pb.JSON, peers, limits, options, source, zones)
 
 
 def _request_class(c: _Block, name: str) -> RequestClass:
@@ -264,6 +281,36 @@
     return SourceOptions(file, feed, s.value("cache"), s.time("poll_ms", above=True))
 
 
+def _zones(z: _Block, message: pb.Zones, classes: tuple[str, ...], own: Any) -> tuple[ZoneOptions, dict[str, Any]]:
+    names = tuple(message.name)
+    if len(set(names)) < len(names):
+        z.wrong("name", "no two zones may share a name")
+    if names and own >= len(names):
+        z.located.problem("node.zone", f"is {own}, but zones.name has {len(names)} names, from 0")
+    weights = {name: z.number(f"{name}_per_token", 0, 1e9) for name in ("prompt_bytes", "state_bytes", "answer_bytes")}
+    least = 1000 * (weights["prompt_bytes"] + weights["state_bytes"])
+    budgets = []
+    for n, one in enumerate(message.budget):
+        b = _Block(one, f"zones.budget[{n}]", z.located)
+        for name in one.request_class:
+            if name not in classes:
+                b.wrong("request_class", f"{name!r} is not among {sorted(classes)}")
+        if not one.request_class and n + 1 < len(message.budget):
+            b.wrong("request_class", "a budget for all classes must be the last")
+        rate, burst = b.number("bytes_per_s", 0, 1e15), b.number("burst_bytes", 0, 1e15, above=True)
+        quantum = b.number("quantum_bytes", 0, 1e15) or burst / 10
+        if burst < least:
+            b.wrong("burst_bytes", f"can't be kept: one prompt of 1,000 tokens crosses with {least:g} bytes, is {burst:g}")
+        elif quantum > burst:
+            b.wrong("quantum_bytes", f"must be at most burst_bytes ({burst:g}), is {quantum:g}")
+        else:
+            budgets.append(ZoneBudget(rate, burst, quantum, frozenset(
+                classes.index(name) for name in one.request_class if name in classes)))
+    options = ZoneOptions(names, z.value("report"), z.time("report_every_ms", above=True),
+                          z.count("report_bytes", 4096, 2**40))
+    return options, {"zone_budgets": tuple(budgets), **weights}
+
+
 def _limits(b: _Block) -> NodeLimits:
     return NodeLimits(
         b.count("open_requests", 1, 10_000_000), b.count("connections", 1, 1_000_000),
--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -14,6 +14,7 @@
 __all__ = [
     "Action",
     "Cancel",
+    "Cause",
     "ClientGone",
     "CloseIdle",
     "Effect",
@@ -47,6 +48,7 @@
     "TellPeers",
     "Tenant",
     "Timer",
+    "ZoneBudget",
 ]
 
 
@@ -138,6 +140,35 @@
         _not_negative(self, "share", "quota_per_s")
 
 
+class Cause(Enum):
+    """Why bytes cross zones."""
+
+    BUDGET = "budget"
+    """Chosen, and the budget had room."""
+    FORCED = "forced"
+    """Nothing else could serve, or serve in time, and the budget had no room."""
+    RETRY = "retry"
+    """A further attempt of a request's stage, within the budget."""
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneBudget:
+    """Bytes that may cross zones for some classes, or for all (`classes` empty), all nodes together.
+
+    `bytes_per_s` on the long run, `burst` at once; dealt out to the nodes in turns of `quantum` bytes, which is at
+    least what a usual request crosses with."""
+
+    bytes_per_s: float
+    burst: float
+    quantum: float
+    classes: frozenset[int] = frozenset()
+
+    def __post_init__(self) -> None:
+        _not_negative(self, "bytes_per_s")
+        if not 0 < self.quantum <= self.burst:
+            raise ValueError(f"quantum: must be above 0 and at most burst ({self.burst!r}), got {self.quantum!r}")
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """What a node is told when it starts; the same for every node but for `slot`.
@@ -148,6 +179,9 @@
 
     How much a server that has just started is sent follows from `slot`, `replicas` and the tenants' quotas,
     whose sum is taken for what the whole fleet can do: each node needs a slot of its own, below `replicas`.
+
+    Without `zone_budgets` zones cost nothing. With them, `prompt_bytes`, `state_bytes` and `answer_bytes` say what a
+    token weighs on its way, and `epoch_offset` what to add to the host's clock for a time that all nodes share.
     """
 
     replicas: int
@@ -180,6 +214,11 @@
     max_retry_after: int = 0
     far_price: float = 0.0
     report_fields: tuple[str, ...] = ()
+    zone_budgets: tuple[ZoneBudget, ...] = ()
+    prompt_bytes: float = 0.0
+    state_bytes: float = 0.0
+    answer_bytes: float = 0.0
+    epoch_offset: int = 0
 
     def __post_init__(self) -> None:
         _positive(self, "replicas", "max_attempts", "release_within", "fall_multiple", "fall_window", "tick")
@@ -264,7 +303,8 @@
     """The end of one attempt. `over` says that nothing more is owed for the request.
 
     `state_lost` accompanies `FULL` where the read state is gone; `kept_tokens` are the prompt tokens
-    that needed no reading; `load` holds the values named in `Settings.report_fields`, or nothing.
+    that needed no reading; `load` holds the values named in `Settings.report_fields`, or nothing. `crossed` are the
+    bytes that this attempt has moved between zones, by the host's account.
     """
 
     id: int
@@ -276,6 +316,7 @@
     kept_tokens: int = 0
     state_lost: bool = False
     load: tuple[float, ...] = ()
+    crossed: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -329,11 +370,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Make an attempt at a server; attempts of a request are numbered from 0. 0: no own time-out."""
+    """Make an attempt at a server; attempts of a request are numbered from 0. 0: no own time-out.
+    `crossing` says why it may move bytes between zones; None where it doesn't, or nobody counts."""
 
     id: int
     server: int
     timeout: int = 0
+    crossing: Cause | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tuliptrack/lab/engine.py
+++ b/tuliptrack/lab/engine.py
@@ -22,6 +22,7 @@
 from tuliptrack.interface import Role
 from tuliptrack.proto import config_pb2, engine_pb2, generation_pb2, lab_pb2
 from tuliptrack.rpc.channel import Channel, ClientCall, End, Options
+from tuliptrack.rpc.core import Traffic
 from tuliptrack.rpc.link import now_us
 from tuliptrack.rpc.server import Server, ServerCall, unary_request
 from tuliptrack.rpc.status import Code, Metadata, Status
@@ -29,6 +30,7 @@
 __all__ = ["Engine", "answer_length", "answer_token", "request_of"]
 
 SERVICE = "tuliptrack.v1.Engine"
+STATE_TRAILER = "tuliptrack-state-bytes"
 CONTROL = "tuliptrack.lab.v1.Control"
 _ROLES = {config_pb2.READ: Role.READ, config_pb2.WRITE: Role.WRITE, config_pb2.BOTH: Role.BOTH}
 _CHUNK = 32_768  # bytes of one message of a fetched state
@@ -71,6 +73,8 @@
     memory: int = 0
     state: engine_pb2.StateRef | None = None
     fetch: ClientCall | None = None
+    fetched: int = 0
+    """Bytes of the state that have come."""
     done: bool = False
     running: bool = False
     index: int = 0
@@ -112,6 +116,10 @@
         self.writing: list[_Job] = []
         self.states: OrderedDict[str, _Waiting] = OrderedDict()
         self.kept: OrderedDict[str, int] = OrderedDict()
+        self.fetched: OrderedDict[str, list[Traffic]] = OrderedDict()
+        """What has left of each request's states; the last 10,000 requests."""
+        self.moved: deque[tuple[str, engine_pb2.Work, Traffic]] = deque(maxlen=100_000)
+        """Every Read and Write call with its bytes, for a judge; the last 100,000."""
         self.kept_sum = 0
         self.memory = 0
         self.sent: deque[tuple[int, float]] = deque()
@@ -123,6 +131,7 @@
         self.server.add(SERVICE, "Release", unary_request(engine_pb2.ReleaseRequest, self._release))
         self.server.add(SERVICE, "Hold", unary_request(engine_pb2.HoldRequest, self._hold))
         self.server.add(SERVICE, "Probe", unary_request(engine_pb2.ProbeRequest, self._probe))
+        self.server.add(SERVICE, "Usage", unary_request(engine_pb2.UsageRequest, self._usage))
         self.server.add(SERVICE, "Fetch", unary_request(engine_pb2.FetchRequest, self._fetch))
         self.server.add(CONTROL, "Apply", unary_request(lab_pb2.Trouble, self._apply))
         self._wake = asyncio.Event()
@@ -225,6 +234,7 @@
         job = _Job(call, work, kind)
         call.on_gone = lambda reason: self._gone(job, reason)
         self.jobs.add(job)
+        self.moved.append((kind, work, call.traffic))
         self._weigh(work.prompt_tokens if kind == "read" else self._length(work.prompt))
         if self.fell:
             return None
@@ -247,7 +257,8 @@
         self._off(job)
         self.note("end", kind=job.kind, request=job.work.request_id, attempt=job.work.attempt, code=status.code.name,
                   tokens=job.index)
-        job.call.end(status, self.trailer())
+        fetched = ((STATE_TRAILER, str(job.fetched)),) if job.state else ()
+        job.call.end(status, self.trailer() + fetched)
 
     def _gone(self, job: _Job, reason: str) -> None:
         if not job.done:
@@ -326,6 +337,11 @@
         call.send(engine_pb2.ProbeResponse(incarnation=self.incarnation).SerializeToString())
         call.end(Status(Code.OK), self.trailer())
 
+    def _usage(self, call: ServerCall, request: engine_pb2.UsageRequest) -> None:
+        sent = sum(t.sent for t in self.fetched.get(request.request_id, []))
+        call.send(engine_pb2.UsageResponse(state_bytes=sent).SerializeToString())
+        call.end(Status(Code.OK), self.trailer())
+
     # -- reading
 
     def _rest(self) -> float:
@@ -380,6 +396,9 @@
         if waiting is None:
             call.end(Status(Code.NOT_FOUND, "state_id: no such state waits here"))
             return
+        self.fetched.setdefault(waiting.request, []).append(call.traffic)
+        if len(self.fetched) > 10_000:
+            self.fetched.popitem(last=False)
         left = int(waiting.tokens * self.m["state_bytes_per_token"])
         first = True
         while left > 0:
@@ -418,6 +437,7 @@
         channel = self.channels.setdefault(address, Channel(address, Options(connect_timeout=250_000)))
 
         def ended(end: End) -> None:
+            job.fetched = job.fetch.traffic.received if job.fetch else 0
             job.fetch = None
             if job.done:
                 return
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -11,6 +11,7 @@
 import contextlib
 import os
 import secrets
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -27,8 +28,9 @@
 from tuliptrack.fronts.port import Answer, Ask, AskError, Failure, Finish, Usage
 from tuliptrack.node.engines import Engines, load_of, outcome_of
 from tuliptrack.node.requests import Attempt, Held, Record, State, Table
+from tuliptrack.node.zones import Move, ZoneAccount
 from tuliptrack.proto import engine_pb2, fleet_pb2, generation_pb2
-from tuliptrack.rpc.channel import Channel, End, How
+from tuliptrack.rpc.channel import Channel, ClientCall, End, How
 from tuliptrack.rpc.core import Limits
 from tuliptrack.rpc.link import now_us
 from tuliptrack.rpc.server import Server, ServerCall, unary_request
@@ -72,9 +74,10 @@
 
     def __init__(self, config: NodeConfig, source: Source | None = None) -> None:
         self.config = config
-        self.settings = config.settings
+        # All nodes share wall time: its offset is taken once, so that later jumps of the clock change nothing.
+        self.settings = replace(config.settings, epoch_offset=time.time_ns() // 1000 - now_us())
         self.instance = secrets.token_hex(6)
-        self.router = Router(config.settings, config.seed or secrets.randbits(63))
+        self.router = Router(self.settings, config.seed or secrets.randbits(63))
         limits = config.limits
         self.table = Table(limits.open_requests)
         self.engines = Engines(config.engines, limits.message_bytes)
@@ -96,6 +99,9 @@
         self._saver: asyncio.Task[None] | None = None
         self._save_again = False
         self.decisions = 0
+        zones = config.zones
+        self.account = ZoneAccount(zones.names, zones.report, zones.report_bytes, config.settings.slot)
+        self._booked_at = 0
         self._acts: dict[type, Callable[[Any], None]] = {
             io.Send: self._send, io.Cancel: self._cancel, io.Refuse: self._refuse, io.Fail: self._fail,
             io.Release: self._release, io.HoldAhead: self._hold_ahead, io.HandBack: self._hand_back,
@@ -152,6 +158,7 @@
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError):
                     await task
+        self.account.write(self.account.book())
         log.info("stopped", **{state.value: n for state, n in self.table.ends.items()})
 
     def _cut(self) -> None:
@@ -334,6 +341,8 @@
             self._events.append(io.Outcome(record.id, attempt.number, action.server, status, 0, record.ended))
             return
         left = record.due - now
+        if record.held:
+            attempt.reader = record.held.server
         attempt.cut_at_due = not action.timeout or action.timeout >= left
         timeout = max(left if attempt.cut_at_due else action.timeout, 1)
         record.out = attempt
@@ -352,6 +361,54 @@
         handle = asyncio.get_running_loop().call_later(timeout / 1e6, self._attempt_late, record, attempt)
         self._timers.add(handle)
         attempt.timer = handle
+        if action.crossing and attempt.call:
+            attempt.cause = action.crossing
+            self._count(record, attempt, attempt.call, seat.info.zone)
+
+    def _count(self, record: Record, attempt: Attempt, call: ClientCall, zone: int) -> None:
+        """Book what this attempt moves between zones, as it moves."""
+        own, tokens = self.settings.zone, record.ask.prompt_tokens
+
+        def move(stage: str, source: int, target: int, size: Callable[[], int], count: float) -> None:
+            if source != target:
+                assert attempt.cause
+                attempt.moves.append(self.account.take(Move(
+                    record.ask.request_class, record.ask.tenant, stage, source, target, attempt.cause, size, count)))
+
+        move("prompt", own, zone, lambda: call.traffic.sent, tokens)
+        if attempt.reading:
+            move("answer", zone, own, lambda: call.traffic.received, 0.0)
+            return
+        move("answer", zone, own, lambda: call.traffic.received, 0.0)
+        if record.held:
+            reader = self.router.seats[record.held.server].info.zone
+            move("state", reader, zone, lambda: attempt.state_bytes, tokens)
+
+    def _state_moved(self, record: Record, attempt: Attempt, end: End) -> None:
+        """How much of a state has crossed: the writer's word, else the reader's is asked for."""
+        state = next((m for m in attempt.moves if m.stage == "state"), None)
+        if state is None:
+            return
+        told = next((v for k, v in end.metadata if k == "tuliptrack-state-bytes"), "")
+        if isinstance(told, str) and told.isdigit():
+            attempt.state_bytes = int(told)
+            return
+        channel = self.engines.channel(attempt.reader)
+        if channel is None or end.how is How.CONNECT:
+            return
+        got: list[bytes] = []
+        state.over = False
+
+        def ended(end: End) -> None:
+            state.over = True
+            if end.status.code is Code.OK and got:
+                attempt.state_bytes = max(engine_pb2.UsageResponse.FromString(got[0]).state_bytes - attempt.state_before, 0)
+            else:  # Its reader is gone too: all of it is assumed to have crossed.
+                attempt.state_bytes = int(self.settings.state_bytes * record.ask.prompt_tokens)
+
+        request = engine_pb2.UsageRequest(request_id=f"{self.instance}-{record.id}")
+        channel.call(ENGINE + "Usage", message=request.SerializeToString(), timeout=_SHORT_CALL, on_message=got.append,
+                     on_end=ended)
 
     def _work(self, record: Record, attempt: Attempt) -> engine_pb2.Work:
         ask = record.ask
@@ -461,11 +518,14 @@
                 self._answer_failed(record, Failure.BROKEN, f"the stream broke: {end.status.message or status.value}")
         elif record.held and record.held.server == attempt.server and status is io.Status.OK:
             status = io.Status.READ  # Its client has left meanwhile; the state is to be let go.
+        for move in attempt.moves:
+            move.over = True
+        self._state_moved(record, attempt, end)
         if attempt.reading and record.held is None and status in (io.Status.CANCELLED, io.Status.TIMEOUT):
             self._release_at(attempt.server, record)  # The read may have ended as we broke it off.
         self.tell(io.Outcome(record.id, attempt.number, attempt.server, status, latency, record.ended,
                              record.cached_tokens if status in (io.Status.OK, io.Status.READ) else 0, lost,
-                             load_of(end, attempt.server)))
+                             load_of(end, attempt.server), float(sum(m.size() for m in attempt.moves))))
         self._settle(record)
 
     def _break(self, record: Record, how: Failure, reason: str, end: How) -> None:
@@ -601,6 +661,10 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             now = now_us()
+            if now - self._booked_at > self.config.zones.report_every:
+                self._booked_at = now
+                if rows := self.account.book():
+                    await asyncio.to_thread(self.account.write, rows)
             for record in list(self.table.open.values()):
                 if record.state is not State.STREAMING:
                     continue
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -19,6 +19,8 @@
 from enum import Enum
 
 from tuliptrack.fronts.port import Answer, Ask, Finish
+from tuliptrack.interface import Cause
+from tuliptrack.node.zones import Move
 from tuliptrack.rpc.channel import ClientCall
 
 __all__ = ["Attempt", "Held", "Record", "State", "Table"]
@@ -65,6 +67,16 @@
     cut_at_due: bool = False
     """Its time-out is the client's deadline, not the router's own."""
     timer: asyncio.TimerHandle | None = None
+    cause: Cause | None = None
+    """Why it may cross zones."""
+    moves: list[Move] = field(default_factory=list)
+    """What it moves between zones."""
+    reader: int = 0
+    """The server whose state it fetches, if any."""
+    state_bytes: int = 0
+    """Bytes of that state that have come."""
+    state_before: int = 0
+    """Bytes of the request's states that had left their reader before this attempt."""
 
 
 @dataclass(slots=True)
--- a/tuliptrack/rpc/channel.py
+++ b/tuliptrack/rpc/channel.py
@@ -24,6 +24,7 @@
     Limits,
     MessageReceived,
     Pong,
+    Traffic,
     Writable,
 )
 from tuliptrack.rpc.link import Link, now_us
@@ -79,7 +80,7 @@
     """One call. Callbacks run at once, in the connection's task, and must not wait."""
 
     __slots__ = ("_timer", "compress", "link", "metadata", "method", "on_end", "on_headers", "on_message",
-                 "on_writable", "open", "out", "paused", "stream", "timeout", "unary")
+                 "on_writable", "open", "out", "paused", "stream", "timeout", "traffic", "unary")
 
     def __init__(self, method: str, metadata: Metadata, timeout: int | None, compress: bool) -> None:
         self.method, self.metadata, self.timeout, self.compress = method, metadata, timeout, compress
@@ -89,6 +90,8 @@
         self.on_writable: Callable[[], None] = _nothing
         self.link: _ClientLink | None = None
         self.stream = 0
+        self.traffic = Traffic()
+        """Bytes of its messages, also of those that cross its end; nothing before there is a connection."""
         self.open, self.paused, self.unary = True, False, False
         self.out: list[bytes] = []
         """What was sent before there was a connection."""
@@ -164,6 +167,7 @@
             call.ended(End(How.STATUS, Status(Code.INTERNAL, str(error)), unprocessed=True))
             return
         call.link = self
+        call.traffic = self.core.traffic(call.stream)
         self.calls[call.stream] = call
         for message in call.out:
             self.core.send(call.stream, message)
--- a/tuliptrack/rpc/core.py
+++ b/tuliptrack/rpc/core.py
@@ -41,11 +41,26 @@
     from_reset,
 )
 
-__all__ = ["Broken", "CallEnded", "CallHeaders", "CallStarted", "Cancelled", "Core", "Event", "GoAway", "HalfClosed",
-           "Limits", "MessageReceived", "Pong", "Writable"]
+__all__ = [
+    "Broken",
+    "CallEnded",
+    "CallHeaders",
+    "CallStarted",
+    "Cancelled",
+    "Core",
+    "Event",
+    "GoAway",
+    "HalfClosed",
+    "Limits",
+    "MessageReceived",
+    "Pong",
+    "Traffic",
+    "Writable",
+]
 
 _LAST_STREAM = 2**31 - 1
 _PREFIX = 5  # bytes before each message: a flag and a length
+_MOST_GHOSTS = 512
 _DRAIN_PING = b"drained?"
 _RESERVED = {"te", "content-type", "user-agent", "host", "connection"}
 
@@ -236,14 +251,26 @@
         return [], [event]
 
 
+class Traffic:
+    """Bytes of messages (with their prefixes, as they went over the wire) that one call has moved on its connection.
+
+    Still counted after the call has ended here: what crosses a reset of ours comes all the same."""
+
+    __slots__ = ("received", "sent")
+
+    def __init__(self) -> None:
+        self.sent = self.received = 0
+
+
 class _Call:
     """One stream's state."""
 
     __slots__ = ("answered", "buffer", "decoder", "encoder", "ending", "got_headers", "high", "local_done", "metadata",
-                 "out", "out_bytes", "paused", "remote_done", "stream", "unacked")
+                 "out", "out_bytes", "paused", "remote_done", "stream", "traffic", "unacked")
 
     def __init__(self, stream: int) -> None:
         self.stream = stream
+        self.traffic = Traffic()
         self.buffer = bytearray()
         self.out: deque[bytes] = deque()
         self.out_bytes = 0
@@ -284,6 +311,8 @@
         """We have told the peer, or it has told us, that no new calls are taken."""
         self._final_goaway: int | None = None
         self._unacked = 0
+        self._ghosts: dict[int, Traffic] = {}
+        """Calls that we have reset while the peer may still send; the last `_MOST_GHOSTS`."""
         self._dirty: dict[int, None] = {}
         """Calls with something to send, in the order in which they got it."""
         self._late: list[Event] = []
@@ -348,6 +377,10 @@
                 raise _FrameTooLarge(f"frame of {size} bytes, {self.h2.max_inbound_frame_size} allowed")
             if after > end:
                 break
+            if not data[at + 3] and self._ghosts:
+                stream = int.from_bytes(data[at + 5:at + 9], "big")
+                if stream in self._ghosts and stream not in self.calls:
+                    self._ghosts[stream].received += size
             if not data[at + 3] and not data[at + 4]:
                 stream = int.from_bytes(data[at + 5:at + 9], "big")
                 call = self.calls.get(stream)
@@ -399,6 +432,7 @@
             self._unacked = 0
         if call is None:
             return
+        call.traffic.received += len(data)
         call.unacked += size
         call.buffer += data
         try:
@@ -695,6 +729,9 @@
         if call is None:
             return False
         self._drop(call)
+        self._ghosts[stream] = call.traffic
+        if len(self._ghosts) > _MOST_GHOSTS:
+            del self._ghosts[next(iter(self._ghosts))]
         self._quiet_reset(stream, error)
         return True
 
@@ -720,6 +757,11 @@
         call = self.calls.get(stream)
         return call.out_bytes if call else 0
 
+    def traffic(self, stream: int) -> Traffic:
+        """The bytes of an open call; the object goes on counting."""
+        call = self.calls.get(stream)
+        return call.traffic if call else Traffic()
+
     def ping(self, data: bytes) -> None:
         if not self.dead:
             self._extra += PingFrame(0, opaque_data=data[:8].ljust(8, b"\0")).serialize()
@@ -771,6 +813,7 @@
                 out.appendleft(data[room:])
                 data = data[:room]
             call.out_bytes -= len(data)
+            call.traffic.sent += len(data)
             last = not out and call.ending is not None and self.client
             if last:
                 self.h2.send_data(call.stream, data, end_stream=True)
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -45,12 +45,13 @@
     """
 
     __slots__ = ("_timer", "deadline", "link", "metadata", "method", "on_gone", "on_half_close", "on_message",
-                 "on_writable", "open", "stream")
+                 "on_writable", "open", "stream", "traffic")
 
     def __init__(self, link: _ServerLink, start: CallStarted) -> None:
         self.link, self.stream, self.method, self.metadata = link, start.stream, start.method, start.metadata
         self.deadline = None if start.timeout is None else now_us() + start.timeout
         self.open = True
+        self.traffic = link.core.traffic(start.stream)
         self.on_message: Callable[[bytes], None] = _nothing
         self.on_half_close: Callable[[], None] = _nothing
         self.on_gone: Callable[[str], None] = _nothing
