Calls past a connection's limit are refused one by one; fronts are listed in one place

A client may open more calls than allowed before it has heard of the limit; h2 ended the whole connection, with every stream on it. Now just those are refused as unprocessed, and a client that goes on all the same is ended. Test with its failure before: all calls lost. A new front is a file and a line in fronts/, node/ knows none by name.

--- a/tests/config/test_node_config.py
+++ b/tests/config/test_node_config.py
@@ -72,7 +72,8 @@
 def test_zones_and_their_budgets_are_checked() -> None:
     found = parse(GOOD + '''zones { name: "a" name: "b" budget { bytes_per_s: 1000 burst_bytes: 90000 request_class: "a" }
       budget { bytes_per_s: 5 burst_bytes: 50000 quantum_bytes: 30000 } }''')
-    assert [(b.quantum, b.classes) for b in found.settings.zone_budgets] == [(9000, {0}), (30000, set())]
+    assert [(b.quantum, b.classes) for b in found.settings.zone_budgets] == [
+        (9000.0, frozenset({0})), (30000.0, frozenset())]
     assert found.zones.names == ("a", "b") and found.settings.state_bytes == 16
     assert problems(GOOD + """node { zone: 2 }
 zones { name: "a" name: "a"
--- a/tests/rpc/test_core.py
+++ b/tests/rpc/test_core.py
@@ -156,6 +156,27 @@
     assert isinstance(events[-1], Broken) and "frame" in events[-1].reason
 
 
+def test_calls_past_the_limit_are_refused_as_unprocessed_and_the_others_live() -> None:
+    peer = Peer(Limits(max_streams=3, control_burst=30, control_per_s=0.1))
+    for n in range(5):  # before the client has heard of the limit
+        peer.ask(2 * n + 1)
+    events = peer.go()
+    assert [e.stream for e in events if isinstance(e, CallStarted)] == [1, 3, 5] == list(peer.core.calls)
+    refused = [e for e in peer.seen if type(e).__name__ == "StreamReset"]
+    assert [(e.stream_id, int(e.error_code)) for e in refused] == [(7, 7), (9, 7)]  # type: ignore[attr-defined]
+    peer.core.finish(1, Status(Code.OK))
+    peer.back()
+    peer.ask(11)
+    assert [e.stream for e in peer.go() if isinstance(e, CallStarted)] == [11]
+    for n in range(100):  # one that goes on all the same is ended
+        peer.h2.remote_settings.max_concurrent_streams = 1000
+        peer.h2.remote_settings.acknowledge()
+        peer.ask(13 + 2 * n)
+        if any(isinstance(e, Broken) for e in peer.go()):
+            return
+    raise AssertionError("it went on")
+
+
 def test_headers_past_the_limit_are_turned_away() -> None:
     peer = Peer(Limits(max_header_bytes=2000))
     peer.ask(headers={"x": "y" * 4000})
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -24,7 +24,7 @@
 from tuliptrack import interface as io
 from tuliptrack.brain import Router
 from tuliptrack.config.node import NodeConfig
-from tuliptrack.fronts import discovery, generation
+from tuliptrack.fronts import FRONTS, discovery
 from tuliptrack.fronts.port import Answer, Ask, AskError, Failure, Finish, Usage
 from tuliptrack.node.engines import Engines, load_of, outcome_of
 from tuliptrack.node.requests import Attempt, Held, Record, State, Table
@@ -126,7 +126,8 @@
             log.warning("kept server list not taken", reason=str(error))
         self.listed(kept, io.ListKind.CACHED)
         self.source.start(self.listed)
-        generation.install(self.server, self)
+        for install in FRONTS:
+            install(self.server, self)
         self._install_peers()
         self.health = discovery.install(self.server)
         host, _, port = self.config.listen.rpartition(":")
--- a/tuliptrack/rpc/core.py
+++ b/tuliptrack/rpc/core.py
@@ -243,6 +243,12 @@
         stream.outbound_flow_control_window -= size
         self._data_to_send += b"%b\0\0%b%b" % (size.to_bytes(3, "big"), stream_id.to_bytes(4, "big"), data)
 
+    @property
+    def open_inbound_streams(self) -> int:
+        """Never past the limit, for which h2 would end the connection: a client may open more before it has heard of
+        the limit, and `Core` refuses just those."""
+        return min(super().open_inbound_streams, self.local_settings.max_concurrent_streams - 1)
+
     def _receive_goaway_frame(self, frame: GoAwayFrame) -> tuple[list[Frame], list[h2.events.Event]]:
         event = h2.events.ConnectionTerminated()
         event.error_code = frame.error_code
@@ -341,6 +347,9 @@
                         kind is h2.events.DataReceived and not event.data and event.stream_ended is None):
                     if not self._control.take(now):
                         return self._break(events, ErrorCodes.ENHANCE_YOUR_CALM, "too many control frames")
+                elif kind is h2.events.RequestReceived and len(self.calls) >= self.limits.max_streams:
+                    if not self._control.take(now):
+                        return self._break(events, ErrorCodes.ENHANCE_YOUR_CALM, "too many calls past the limit")
                 elif kind is h2.events.StreamReset and event.remote_reset and not self._resets.take(now):
                     return self._break(events, ErrorCodes.ENHANCE_YOUR_CALM, "too many resets")
                 handler = self._handlers.get(kind)
@@ -497,6 +506,9 @@
         if self._final_goaway is not None and stream > self._final_goaway:
             self.h2.reset_stream(stream, ErrorCodes.REFUSED_STREAM)
             return
+        if len(self.calls) >= self.limits.max_streams:
+            self.h2.reset_stream(stream, ErrorCodes.REFUSED_STREAM)
+            return
         call = self.calls[stream] = _Call(stream)
         raw = {name: value for name, value in event.headers or ()}
         kind = raw.get(b"content-type", b"")
