--- a/tests/decisions/test_zones.py
+++ b/tests/decisions/test_zones.py
@@ -189,3 +189,15 @@
             went.add(sent[0].server)  # answers go on: the own writer fills
             w.start(read.id, sent[0].server)
         assert (12 in went) is crossing, (budget, went)
+
+
+def test_writers_at_home_are_not_passed_over_for_strangers_whose_memory_nobody_has_told() -> None:
+    pool = [server(10, READ), server(11, WRITE), *(server(20 + n, WRITE, zone=1) for n in range(3))]
+    w = world(pool, **{**BUDGET, "zone_budgets": (ZoneBudget(0.0, 400_000.0, 50_000.0),)})
+    for _ in range(5):
+        _, said = w.ask(after=100 * MS)
+        read = only(Send, said)
+        written = only(Send, w.end(read.id, 10, Status.READ))
+        assert written.server == 11
+        w.start(read.id, 11)
+        w.end(read.id, 11, Status.OK, over=True, load=(3.0, 0.4))  # two fifths held: clearly above nothing told
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from typing import Any
 
 import pytest
 from world import GENERATE, World, run, until, world
@@ -315,3 +316,53 @@
             assert (await one.wait()).status.code is Code.OK
 
     run(go)
+
+
+def test_a_client_that_never_reads_its_answer_is_ended_after_the_time_allowed() -> None:
+    async def go() -> None:
+        model = "answer_least: 20000 answer_most: 20000 step_ms: 0.2 per_answer_ms: 0"
+        async with world("r0 w0", model=model, settings="limits { client_stall_ms: 300 answer_bytes: 4096 }") as w:
+            one = w.ask(timeout=None)
+            await until(lambda: one.tokens)
+            assert one.call
+            one.call.pause()
+            await until(lambda: w.node.table.ends[State.FAILED] == 1)
+            await until(lambda: w.seen("gone", kind="write"))
+            one.call.resume()
+            end = await one.wait()
+            assert end.status.code is Code.CANCELLED and "unread" in end.status.message
+            one.check_tokens()
+
+    run(go)
+
+
+def test_an_engine_that_goes_silent_in_mid_stream_is_given_up_after_the_time_allowed() -> None:
+    async def go() -> None:
+        async with world("r0 w0", model=LONG, settings="engines { token_silence_ms: 400 }") as w:
+            one = w.ask(timeout=20)
+            await until(lambda: one.tokens)
+            w.engines["w0"].apply(lab_pb2.Trouble(pause_ms=20_000))
+            end = await one.wait()
+            assert end.status.code is Code.ABORTED and "silent" in end.status.message
+            one.check_tokens()
+            await until(lambda: w.seen("gone", kind="write"))
+
+    run(go)
+
+
+def test_a_stream_whose_last_token_came_is_served_though_its_engine_dies_before_the_status() -> None:
+    async def go() -> None:
+        async with world("r0 w0") as w:
+            engine = w.engines["w0"]
+
+            def die(job: Any, status: object) -> None:
+                engine._off(job)
+                asyncio.get_running_loop().call_later(0.05, job.call.reset)  # once the last token has gone
+
+            engine._finish = die  # type: ignore[method-assign]
+            one = w.ask()
+            assert (await one.wait()).status.code is Code.OK
+            one.check_tokens()
+            assert one.tokens[-1].finish_reason == pb.STOP
+
+    run(go)
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -260,7 +260,9 @@
         pool = self._pool(self.fleet.ready(Role.WRITE), flight, len(self.seats))
         if not pool:
             return None
-        bound = median_low(s.memory for s in pool) + MEMORY_ABOVE
+        # Little is known of the memory of servers abroad: those at home are compared with each other.
+        home = [s for s in pool if not self._crossing(flight, s)] if self.zones else pool
+        bound = median_low(s.memory for s in home or pool) + MEMORY_ABOVE
         loads = {s.info.id: self._load(s) for s in pool if s.memory <= bound}
         if self.zones:  # A crossing weighs so many mean loads more.
             mean = max(sum(loads.values()) / len(loads), flight.cost)
--- a/tuliptrack/rpc/link.py
+++ b/tuliptrack/rpc/link.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import threading
 import time
 from abc import abstractmethod
 
@@ -21,6 +22,15 @@
 _WRITE_MOST = 8_388_608  # bytes past which the peer is held to be gone: control frames alone made this
 
 
+class _Turn(threading.local):
+    """While bytes of one connection are dealt with: the connections that got something to write by it."""
+
+    links: dict[Link, None] | None = None
+
+
+_turn = _Turn()
+
+
 def now_us() -> int:
     """Monotonic time in whole microseconds."""
     return time.monotonic_ns() // 1000
@@ -51,8 +61,13 @@
                 if not data:
                     break
                 self.heard_at = now_us()
-                self._act(self.core.receive(data, self.heard_at))
-                self.flush_soon()
+                _turn.links = {self: None}
+                try:
+                    self._act(self.core.receive(data, self.heard_at))
+                finally:
+                    links, _turn.links = _turn.links, None
+                    for link in links:
+                        link._flush()
         except OSError as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -69,8 +84,10 @@
             self.on_event(event)
 
     def flush_soon(self) -> None:
-        """Write what the core has, at the end of this turn of the loop."""
-        if not self._scheduled and not self.closed:
+        """Write what the core has: once the bytes that are being read are dealt with, or at the end of the loop's turn."""
+        if _turn.links is not None:
+            _turn.links[self] = None
+        elif not self._scheduled and not self.closed:
             self._scheduled = True
             self.loop.call_soon(self._flush)
 
