Zones: a jam at home tells nothing of another zone; measured at 190 nodes

A node takes a role's last answers for the state of the fleet, and those of the jammed home spoke against every zone.

--- a/bench/zones.py
+++ b/bench/zones.py
@@ -38,8 +38,8 @@
 )
 
 NODES, ENGINES, ZONES = 190, 66, 3
-RATE = 420.0  # requests a second
-SHARES = (0.42, 0.33, 0.25)  # of the traffic, by the zone of the node
+Day = tuple[str, float, tuple[float, ...], tuple[float, float] | None]
+"""Name, requests a second, the zones' shares of them, and from when to when zone 0 is dark (seconds)."""
 READ_US, SLOTS, STEP_US = 30.0, 40, 15_000  # a token read; a writer's slots; a token written
 PROMPT_B, STATE_B, ANSWER_B = 6.0, 16.0, 24.0
 CLASSES = (RequestClass("question", 1.0, 1_200_000, 5_000_000, token_aim=60_000.0),
@@ -56,9 +56,10 @@
         self.dark = False
 
 
-def run(name: str, budget: float | None, seconds: float, dark: tuple[float, float] | None, seed: int = 1) -> dict[str, Any]:
+def run(name: str, budget: float | None, seconds: float, day: Day, seed: int = 1) -> dict[str, Any]:
     """One day; `budget` in bytes a second for all nodes (None: zones ignored; -1: other zones unknown)."""
     chance = random.Random(seed)
+    _, rate, shares, dark = day
     budgets = () if budget is None or budget < 0 else (ZoneBudget(budget, max(budget * 5, 80_000.0), 80_000.0),)
     servers = [Server(n + 1, n % 2, cell=n % ZONES, zone=n % ZONES) for n in range(ENGINES)]
     engines = {s.id: Engine() for s in servers}
@@ -69,7 +70,7 @@
         known = [s for s in servers if budget != -1 or s.zone == zone]
         routers.append(Router(Settings(
             replicas=NODES, slot=slot, zone=zone, classes=CLASSES, roles=(Role.READ, Role.WRITE), max_attempts=5,
-            tenants=(Tenant("a", 1.0, RATE * 1.5),), may_cancel=True, report_fields=("in_flight", "memory_share"),
+            tenants=(Tenant("a", 1.0, rate * 1.5),), may_cancel=True, report_fields=("in_flight", "memory_share"),
             zone_budgets=budgets, prompt_bytes=PROMPT_B, state_bytes=STATE_B, answer_bytes=ANSWER_B), slot))
         routers[-1].handle(1_000_000, [FleetChange(ListKind.FULL, 1, tuple(known))])
         node_zone.append(zone)
@@ -77,8 +78,8 @@
     queue: list[tuple[int, int, int, Any]] = []
     start, at = 2_000_000, 2_000_000.0
     while at < start + seconds * 1e6:
-        at += chance.expovariate(RATE) * 1e6
-        zone = chance.choices(range(ZONES), SHARES)[0]
+        at += chance.expovariate(rate) * 1e6
+        zone = chance.choices(range(ZONES), shares)[0]
         node = chance.randrange(NODES // ZONES) * ZONES + zone
         cls = int(chance.random() < 0.2)
         prompt, shared = (3000.0, 0.0) if cls else (2800.0, 2400.0)
@@ -169,23 +170,24 @@
 @click.option("--seconds", default=40.0)
 @click.option("--plot", type=click.Path())
 def main(seconds: float, plot: str | None) -> None:
-    click.echo(f"{NODES} nodes, {ENGINES} engines in {ZONES} zones, {RATE:g} requests a second, {seconds:g} s a day")
-    shades = None
-    for title, dark in (("calm", None), (f"zone 0 dark from 10 to {seconds * 0.75:g} s", (10.0, seconds * 0.75))):
+    click.echo(f"{NODES} nodes, {ENGINES} engines in {ZONES} zones, {seconds:g} s a day")
+    shades = []
+    days: list[Day] = [("calm", 420.0, (0.42, 0.33, 0.25), None), ("zone 0 overfull", 600.0, (0.72, 0.16, 0.12), None),
+                       (f"zone 0 dark from 10 to {seconds * 0.75:g} s", 420.0, (0.42, 0.33, 0.25), (10.0, seconds * 0.75))]
+    for day in days:
+        title = f"{day[0]}: {day[1]:g} requests a second, shares {day[2]}"
         with ProcessPoolExecutor(7) as pool:
-            if dark is None:
-                free = run("free", None, seconds, None)
+            free = run("free", None, seconds, day)
             parts = (1.0, 0.3, 0.1, 0.03, 0.0)
             jobs = [("never cross", -1.0)] + [(f"{p:.0%} of free", p * free["crossed"]) for p in parts]
-            rows = [pool.submit(run, "free", None, seconds, dark)] + [
-                pool.submit(run, name, budget, seconds, dark) for name, budget in jobs]
-            found = [row.result() for row in rows]
+            found = [free] + [row.result() for row in [
+                pool.submit(run, name, budget, seconds, day) for name, budget in jobs]]
         click.echo(f"\n{title}\n{'':14} {'in time':>8} {'KB/s crossed':>13} {'of it forced':>13} "
                    f"{'worst s of bound':>17}  by zone")
         for row in found:
             click.echo(f"{row['name']:14} {row['in time']:8.1%} {row['crossed'] / 1000:13.0f} {row['forced'] / 1000:13.0f} "
                        f"{row['worst']:17.0%}  " + " ".join(f"{z:.1%}" for z in row["zones"]))
-        shades = shades or found
+        shades.append((day[0], found))
     if plot and shades:
         import matplotlib
 
@@ -193,10 +195,12 @@
         from matplotlib import pyplot
 
         figure, axes = pyplot.subplots(figsize=(7, 4))
-        for row in shades:
-            axes.plot(row["crossed"] / 1000, row["in time"] * 100, "o")
-            axes.annotate(row["name"], (row["crossed"] / 1000, row["in time"] * 100), fontsize=8)
-        axes.set(xlabel="KB a second across zones", ylabel="% of the worth in time (calm day, drawn engines)")
+        for name, found in shades:
+            axes.plot([r["crossed"] / 1000 for r in found], [r["in time"] * 100 for r in found], "o", label=name)
+            for row in found:
+                axes.annotate(row["name"], (row["crossed"] / 1000, row["in time"] * 100), fontsize=6)
+        axes.legend()
+        axes.set(xlabel="KB a second across zones", ylabel="% of the worth in time (drawn engines)")
         figure.savefig(plot, dpi=110, bbox_inches="tight")
 
 
--- a/tests/decisions/test_zones.py
+++ b/tests/decisions/test_zones.py
@@ -201,3 +201,20 @@
         assert written.server == 11
         w.start(read.id, 11)
         w.end(read.id, 11, Status.OK, over=True, load=(3.0, 0.4))  # two fifths held: clearly above nothing told
+
+
+def test_a_jam_at_home_tells_nothing_of_another_zone() -> None:
+    """At many nodes a role's last answers stand for its state: those of home, for home."""
+    pool = [*(server(10 + n, READ) for n in range(2)), *(server(20 + n, READ, zone=1) for n in range(2)),
+            server(30, WRITE), server(31, WRITE, zone=1)]
+    w = world(pool, **{**BUDGET, "replicas": 100, "report_fields": ("in_flight", "memory_share", "tokens_waiting_k")})
+    servers = []
+    for _ in range(30):
+        _, said = w.ask(after=30 * MS, prefix=0)
+        sends = [a for a in said if isinstance(a, Send)]
+        servers += [a.server for a in sends] or [0]
+        if sends:  # home reads slowly, and says that much waits
+            lag, load = (900 * MS, (40.0, 0.2, 60.0)) if sends[0].server < 20 else (40 * MS, (0.0, 0.2, 0.0))
+            written = only(Send, w.end(sends[0].id, sends[0].server, Status.READ, after=lag, load=load))
+            w.end(written.id, written.server, Status.OK, after=20 * MS, over=True, load=(0.0, 0.2, 0.0))
+    assert 0 not in servers and sum(20 <= s < 30 for s in servers) > 10, servers
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -234,6 +234,6 @@
         w = World(Router(Service(1, rate=1.0).settings, 1), START)
         w.tell(FleetChange(ListKind.CACHED, 1, (replace(reader, started_at=at), writer)))
         w.now += 5 * S
-        role = w.router.kinds[Role.READ]
+        role = w.router.kinds[Role.READ, False]
         role.full, role.told_at = 1.0, w.now  # what it tried was turned away at once
         only(kind, w.ask()[1])
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -104,7 +104,7 @@
         sent = only(Send, said)
     while sent.timeout:
         sent = only(Send, w.end(number, sent.server, Status.TIMEOUT, after=sent.timeout))
-    assert w.router.kinds[Role.READ].lost > 0.5
+    assert w.router.kinds[Role.READ, False].lost > 0.5
 
 
 def test_a_node_that_refuses_gives_up_no_attempt_since_its_retry_would_feed_the_jam() -> None:
@@ -117,9 +117,9 @@
         return sent.timeout
 
     assert patience()
-    w.router.kinds[Role.READ].full, w.router.kinds[Role.READ].told_at = 1.0, w.now
+    w.router.kinds[Role.READ, False].full, w.router.kinds[Role.READ, False].told_at = 1.0, w.now
     only(Refuse, w.ask()[1])
-    w.router.kinds[Role.READ].full = 0.0
+    w.router.kinds[Role.READ, False].full = 0.0
     assert patience(after=1 * S) == 0
     assert patience(after=2 * S), "silence counts again once it has stopped refusing"
 
@@ -159,7 +159,7 @@
     w = world([server(1, READ, weight=9.0), server(2, WRITE, weight=9.0), server(3, BOTH, weight=0.5)],
               replicas=NODES)
     seat = w.router.seats[3]
-    w.router.kinds[seat.role].carry(50_000.0, w.now, 20 * S)
+    w.router.kinds[seat.role, False].carry(50_000.0, w.now, 20 * S)
     used: Counter[int] = Counter()
     for _ in range(10):
         number, said = w.ask(prefix=0)
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -71,7 +71,8 @@
         self.seats, self.asked = self.fleet.seats, Asked()
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = {}
-        self.kinds = {role: Kind(deque(maxlen=TYPICAL_OF)) for role in Role}
+        # What answers of a role have shown; those of other zones apart, where crossings are counted.
+        self.kinds = {(role, far): Kind(deque(maxlen=TYPICAL_OF)) for role in Role for far in (False, True)}
         self.quotas = sum(t.quota_per_s for t in settings.tenants)
         self.gap, self.arrived_at = 0.0, 0
         self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
@@ -101,6 +102,8 @@
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
         self.fleet.apply(change)
+        for seat in self.seats.values():
+            seat.kind = self.kinds[seat.role, self._abroad(seat)]
 
     # -- arrival: worth and refusal
 
@@ -149,11 +152,13 @@
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
         queue, typical = self._queue_us(reader) if reader else 0.0, 0.0
         queue += writer.open_work * self._us_per_token(writer) if writer else 0.0
+        far = reader is not None and self._abroad(reader)
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         # A node with a request a second has hardly any own work open: its last reports and answers stand in,
         # and the ages of attempts out, as no answer comes of a jam; the median, lest one silent server do.
         for role in roles:
-            kind, olds = self.kinds[role], [self._oldest(s) for s in self.fleet.ready(role) if s.role is role]
+            kind = self.kinds[role, far]
+            olds = [self._oldest(s) for s in self.fleet.ready(role) if s.kind is kind]
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
             told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
             aged = self.unseen**AGES_POWER * median_low([0, *(self.now - old.sent for old in olds if old)])
@@ -239,7 +244,7 @@
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
         oldest = self._oldest(seat)
-        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else self.kinds[seat.role].us_per_token
+        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else seat.kind.us_per_token
         return max(seen, (self.now - seat.busy_from) / oldest.work) if oldest else seen
 
     def _oldest(self, seat: Seat) -> Flight | None:
@@ -252,7 +257,7 @@
     def _latency(self, seat: Seat) -> float:
         """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
         oldest = self._oldest(seat)
-        return max(seat.latency or self.kinds[seat.role].latency, self.now - oldest.sent if oldest else 0, 1)
+        return max(seat.latency or seat.kind.latency, self.now - oldest.sent if oldest else 0, 1)
 
     # -- the second stage: a writer
 
@@ -280,7 +285,7 @@
     def _load(self, seat: Seat) -> float:
         """Projected own tokens there, and what all of its role get from this node, each by the list's sizes:
         a mixed server that has reads of its own takes a state only where writers are as full."""
-        role = self.kinds[seat.role].carry(0.0, self.now, CARRIED_US) / self.fleet.size(seat.role)
+        role = self.kinds[seat.role, False].carry(0.0, self.now, CARRIED_US) / self.fleet.size(seat.role)
         return seat.tokens / max(seat.info.weight, 1e-6) + role
 
     # -- health and guards, one notion for both stages
@@ -328,7 +333,7 @@
     def _patience(self, flight: Flight, seat: Seat) -> int:
         """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
         time. None where most are silent or this node refuses, which is a jam: retries would feed it."""
-        kind = self.kinds[seat.role]
+        kind = seat.kind
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
         if left <= 0 or unsafe or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
@@ -395,7 +400,7 @@
         seat.take(flight, self.now)
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
-            self.kinds[seat.role].carry(flight.cost, self.now, CARRIED_US)
+            self.kinds[seat.role, False].carry(flight.cost, self.now, CARRIED_US)
         for key in self._keys(flight) if seat.blamed else ():
             if key in seat.blamed:  # This is its trial: the next waits anew.
                 seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
@@ -413,7 +418,7 @@
             self._good(flight.at, event.latency, flight)
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
-        kind, read = self.kinds[seat.role], seat.role is not Role.WRITE and flight.held is None
+        kind, read = seat.kind, seat.role is not Role.WRITE and flight.held is None
         seat.answered(flight, latency, self.now, SMOOTHING, read)
         kind.answered(flight, latency, seat.waiting, SMOOTHING, read)
         kind.ended(0.0, 0.0, self.now, SMOOTHING)
@@ -428,10 +433,10 @@
             self._blame(seat, everything, flight.sent)
         elif event.status is Status.ERROR or (event.status is Status.TIMEOUT and self.now < flight.due):
             flight.silences += 1
-            self.kinds[seat.role].ended(1.0, 0.0, self.now, SMOOTHING)
+            seat.kind.ended(1.0, 0.0, self.now, SMOOTHING)
             self._blame(seat, cls, flight.sent)
         elif event.status is Status.FULL and not event.state_lost:
-            self.kinds[seat.role].ended(0.0, float(early), self.now, SMOOTHING)
+            seat.kind.ended(0.0, float(early), self.now, SMOOTHING)
             self._blame(seat, everything if early else tenant, flight.sent)
 
     def _outcome(self, event: Outcome) -> None:
@@ -441,7 +446,7 @@
         told = self.seats.get(event.server)
         if told and event.load:
             told.told(dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
-            self.kinds[told.role].waiting += SMOOTHING * (told.waiting - self.kinds[told.role].waiting)
+            told.kind.waiting += SMOOTHING * (told.waiting - told.kind.waiting)
         if flight is None or flight.at is None:
             if event.status is Status.READ:
                 self.out.append(Release(event.id))
@@ -467,7 +472,7 @@
             return
         # What follows an attempt that has not answered: the next stage, another server, or the end.
         flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
-        jam = event.status is Status.FULL and self.kinds[seat.role].full > FULL_MOST
+        jam = event.status is Status.FULL and seat.kind.full > FULL_MOST
         seek = self._pick_writer if flight.held else self._pick_reader
         self._send(flight, None if event.status is Status.MOOT or jam else seek(flight))
 
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -87,6 +87,8 @@
 
     info: Server
     role: Role
+    kind: Kind = field(init=False)
+    """What its role has shown, in its part of the fleet; set by the decision module at each change of the list."""
     depth: float = 0.0
     """Requests in flight by the last report; 0 where none came."""
     told_at: int = 0
