--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -27,6 +27,7 @@
     Started,
     Status,
     Tenant,
+    ZoneBudget,
 )
 
 
@@ -34,15 +35,17 @@
 @click.option("--servers", default=190)
 @click.option("--requests", default=20_000)
 @click.option("--per-s", default=800.0, help="Arrivals a second at this node.")
-def main(servers: int, requests: int, per_s: float) -> None:
+@click.option("--zones", default=0, help="Spread the servers over so many zones, with a budget; 0: no zones.")
+def main(servers: int, requests: int, per_s: float, zones: int) -> None:
     chance = random.Random(1)
     settings = Settings(
         replicas=4, roles=(Role.READ, Role.WRITE), may_cancel=True, max_attempts=5,
         classes=(RequestClass("question", 1.0, 1_200_000, 5_000_000), RequestClass("summary", 2.0, 2_500_000, 12_000_000)),
         tenants=(Tenant("a", 0.5, 4 * per_s), Tenant("b", 0.5, 4 * per_s)),
-        report_fields=("in_flight", "memory_share", "tokens_waiting_k"))
+        report_fields=("in_flight", "memory_share", "tokens_waiting_k"), prompt_bytes=6.0, state_bytes=16.0,
+        answer_bytes=24.0, zone_budgets=(ZoneBudget(1e7, 1e8, 1e5),) if zones else ())
     router = Router(settings, 1)
-    fleet = tuple(Server(n, n % 2, cell=n // 8) for n in range(1, servers + 1))
+    fleet = tuple(Server(n, n % 2, cell=n // 8, zone=n // 2 % zones if zones else 0) for n in range(1, servers + 1))
     took: dict[str, list[float]] = defaultdict(list)
     queue: list[tuple[int, int, object]] = [(1_000_000, 0, FleetChange(ListKind.FULL, 1, fleet))]
     tie = itertools.count(1)
--- a/tests/test_zones_path.py
+++ b/tests/test_zones_path.py
@@ -7,6 +7,7 @@
 from collections import defaultdict
 from pathlib import Path
 
+import pytest
 from click.testing import CliRunner
 from world import World, run, until, world
 
@@ -89,6 +90,18 @@
     assert (tmp_path / "p.png").read_bytes().startswith(b"\x89PNG")
 
 
+def test_a_zone_without_readers_or_writers_is_told_once(capsys: pytest.CaptureFixture[str]) -> None:
+    async def go() -> None:
+        async with world("r0 w0 r1", settings=BUDGET, zones=ZONES) as w:
+            w.feed.change(w.entry("r0"))
+            await until(lambda: w.node.roster.version == 2)
+
+    run(go)
+    lines = [line for line in capsys.readouterr().out.splitlines() if "zone lacks a role" in line]
+    told = sorted((" ".join(line.split()).split("role=")[1].split()[0], line.split("zone=")[1].split()[0]) for line in lines)
+    assert told == [("read", "beyond"), ("write", "beyond"), ("write", "there")]
+
+
 def test_what_can_be_served_at_home_stays_there_and_a_dark_zone_is_left_and_returned_to() -> None:
     async def go() -> None:
         async with world("r0 w0 r1 w1", settings=BUDGET, zones=ZONES) as w:
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -102,6 +102,7 @@
         zones = config.zones
         self.account = ZoneAccount(zones.names, zones.report, zones.report_bytes, config.settings.slot)
         self._booked_at = 0
+        self._lacking: set[tuple[str, str]] = set()
         self._acts: dict[type, Callable[[Any], None]] = {
             io.Send: self._send, io.Cancel: self._cancel, io.Refuse: self._refuse, io.Fail: self._fail,
             io.Release: self._release, io.HoldAhead: self._hold_ahead, io.HandBack: self._hand_back,
@@ -234,6 +235,18 @@
                      servers=len(self.roster.held))
             if self.config.source.cache:
                 self._keep()
+            if self.settings.zone_budgets:
+                self._look_at_zones()
+
+    def _look_at_zones(self) -> None:
+        """Tell the operators of zones that lack readers or writers: each request there must cross."""
+        seats = [s for s in self.router.seats.values() if s.info.state is io.ServerState.READY]
+        zones = {s.info.zone for s in seats} | {self.settings.zone, *range(len(self.config.zones.names))}
+        lacking = {(self.account.name(zone), role.value) for zone in zones for role in (io.Role.READ, io.Role.WRITE)
+                   if not any(s.info.zone == zone and s.role in (role, io.Role.BOTH) for s in seats)}
+        for zone, role in sorted(lacking - self._lacking):
+            log.warning("zone lacks a role", zone=zone, role=role)
+        self._lacking = lacking
 
     def _keep(self) -> None:
         """Keep the list on disk, one write at a time, off the loop."""
