--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -266,12 +266,14 @@
         if not pool:
             return None
         # Little is known of the memory of servers abroad: those at home are compared with each other.
-        home = [s for s in pool if not self._crossing(flight, s)] if self.zones else pool
+        zones = {s.info.zone: s for s in pool} if self.zones else {}
+        prices = {zone: self._price(flight, s) for zone, s in zones.items()}
+        home = [s for s in pool if not prices[s.info.zone]] if prices else pool
         bound = median_low(s.memory for s in home or pool) + MEMORY_ABOVE
         loads = {s.info.id: self._load(s) for s in pool if s.memory <= bound}
-        if self.zones:  # A crossing weighs so many mean loads more.
+        if any(prices.values()):  # A crossing weighs so many mean loads more.
             mean = max(sum(loads.values()) / len(loads), flight.cost)
-            loads = {i: load + mean * self._price(flight, self.seats[i]) for i, load in loads.items()}
+            loads = {i: load + mean * prices[self.seats[i].info.zone] for i, load in loads.items()}
         most = min(loads.values()) + NEAR_TIE * sum(loads.values()) / len(loads)
         near = [s for s in pool if loads.get(s.info.id, math.inf) <= most]
         cell = flight.held.info.cell if flight.held else None
