--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -80,6 +80,7 @@
                     action.id, attempt, action.server, Status.OK, lag + 3_000_000, over=True, load=load)))
     click.echo(f"{servers} servers, {requests} requests at {per_s:g} a second; actions {dict(ends)}")
     click.echo(f"{'event':12} {'count':>7} {'median us':>10} {'p99 us':>8} {'most us':>8}")
+    took["all"] = [one for times in took.values() for one in times]
     for name, times in took.items():
         times.sort()
         click.echo(f"{name:12} {len(times):7} {times[len(times) // 2] * 1e6:10.0f} {times[len(times) * 99 // 100] * 1e6:8.0f} "
