Zones: a second fetch of one state is not booked with the first one's bytes

Where the writer's word on a state is missing, the reader tells what has left for the request in all; what earlier attempts had fetched was meant to be taken off, but was never noted.

--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -357,6 +357,7 @@
         left = record.due - now
         if record.held:
             attempt.reader = record.held.server
+            attempt.state_before = record.state_moved.get(attempt.reader, 0)
         attempt.cut_at_due = not action.timeout or action.timeout >= left
         timeout = max(left if attempt.cut_at_due else action.timeout, 1)
         record.out = attempt
@@ -406,6 +407,7 @@
         told = next((v for k, v in end.metadata if k == "tuliptrack-state-bytes"), "")
         if isinstance(told, str) and told.isdigit():
             attempt.state_bytes = int(told)
+            record.state_moved[attempt.reader] = attempt.state_before + attempt.state_bytes
             return
         channel = self.engines.channel(attempt.reader)
         if channel is None or end.how is How.CONNECT:
@@ -419,6 +421,7 @@
                 attempt.state_bytes = max(engine_pb2.UsageResponse.FromString(got[0]).state_bytes - attempt.state_before, 0)
             else:  # Its reader is gone too: all of it is assumed to have crossed.
                 attempt.state_bytes = int(self.settings.state_bytes * record.ask.prompt_tokens)
+            record.state_moved[attempt.reader] = attempt.state_before + attempt.state_bytes
 
         request = engine_pb2.UsageRequest(request_id=f"{self.instance}-{record.id}")
         channel.call(ENGINE + "Usage", message=request.SerializeToString(), timeout=_SHORT_CALL, on_message=got.append,
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -116,6 +116,8 @@
     """Since when the client has taken no more; 0: it takes."""
     reason: str = ""
     servers: list[int] = field(default_factory=list)
+    state_moved: dict[int, int] = field(default_factory=dict)
+    """Bytes of its states that attempts so far have fetched across zones, by reader."""
 
     @property
     def ended(self) -> bool:
