Read-through: one way to tell when processes died, one line that books an answer, no detour for Broken

The judge gathered the ends of lives twice; the node's account had the answer's move in two branches; Link.broke only asked for a type.

--- a/tuliptrack/lab/judge.py
+++ b/tuliptrack/lab/judge.py
@@ -106,10 +106,7 @@
 
 def _spans(day: Traffic) -> dict[str, list[tuple[int, int, str]]]:
     """By the node's name of a request: when each attempt was out, as its engine saw it."""
-    died = {life.who: [] for life in day.lives}  # type: dict[str, list[int]]
-    for life in day.lives:
-        if life.end:
-            died[life.who].append(life.end)
+    died = _died(day)
     ends = {(r["engine"], r["request"], r["attempt"]): r["t"] for r in day.engines if r["what"] in ("end", "gone")}
     spans: dict[str, list[tuple[int, int, str]]] = defaultdict(list)
     last = _last(day)
@@ -122,6 +119,15 @@
     return spans
 
 
+def _died(day: Traffic) -> dict[str, list[int]]:
+    """When each process's lives ended."""
+    found: dict[str, list[int]] = defaultdict(list)
+    for life in day.lives:
+        if life.end:
+            found[life.who].append(life.end)
+    return found
+
+
 def _last(day: Traffic) -> int:
     """When the day was over: what hasn't ended by then has not ended."""
     return day.end or max((row["t"] for row in day.engines), default=0)
@@ -192,17 +198,14 @@
 def _pinned(day: Traffic, tags: dict[str, str], spans: dict[str, list[tuple[int, int, str]]], rule: _Rule) -> None:
     let_go = {row["state"]: row for row in day.engines if row["what"] == "let go"}
     deaths = {life.instance: life.end for life in day.lives if life.end}
-    engine_ends: dict[str, list[int]] = defaultdict(list)
-    for life in day.lives:
-        if life.end:
-            engine_ends[life.who].append(life.end)
+    engine_ends = _died(day)
     last = _last(day)
     for row in day.engines:
         if row["what"] != "kept":
             continue
         death = deaths.get(row["request"].rpartition("-")[0], 0)
         end = let_go[row["state"]]["t"] if row["state"] in let_go else min(
-            (t for t in engine_ends[row["engine"]] if t > row["t"]), default=last)
+            (t for t in engine_ends.get(row["engine"], []) if t > row["t"]), default=last)
         at, longest = row["t"], 0
         for start, stop, _ in [*sorted(spans[row["request"]]), (end, end, "")]:
             if start > at:
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -391,11 +391,8 @@
                     record.ask.request_class, record.ask.tenant, stage, source, target, attempt.cause, size, count)))
 
         move("prompt", own, zone, lambda: call.traffic.sent, tokens)
-        if attempt.reading:
-            move("answer", zone, own, lambda: call.traffic.received, 0.0)
-            return
         move("answer", zone, own, lambda: call.traffic.received, 0.0)
-        if record.held:
+        if record.held and not attempt.reading:
             reader = self.router.seats[record.held.server].info.zone
             move("state", reader, zone, lambda: attempt.state_bytes, tokens)
 
--- a/tuliptrack/rpc/link.py
+++ b/tuliptrack/rpc/link.py
@@ -13,7 +13,7 @@
 import time
 from abc import abstractmethod
 
-from tuliptrack.rpc.core import Broken, Core, Event
+from tuliptrack.rpc.core import Core, Event
 
 __all__ = ["Link", "now_us"]
 
@@ -127,6 +127,3 @@
             self.writer.close()
         if self.writer.transport.get_write_buffer_size() > 0:
             self.loop.call_later(1.0, self.writer.transport.abort)
-
-    def broke(self, event: Event) -> bool:
-        return isinstance(event, Broken)
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -15,6 +15,7 @@
 from google.protobuf.message import DecodeError, Message
 
 from tuliptrack.rpc.core import (
+    Broken,
     CallStarted,
     Cancelled,
     Core,
@@ -171,9 +172,9 @@
                     call.on_writable()
             elif isinstance(event, GoAway):
                 pass  # A client that goes away still reads its answers.
-            elif self.broke(event):
+            elif isinstance(event, Broken):
                 self.server.broken += 1
-                log.info("connection ended", peer=self.peer, reason=getattr(event, "reason", ""))
+                log.info("connection ended", peer=self.peer, reason=event.reason)
         except Exception:
             log.exception("handler failed", method=call.method if call else "")
             if call:
