--- a/tests/test_actions.py
+++ b/tests/test_actions.py
@@ -86,7 +86,7 @@
             await until(lambda: of(heard, io.ProbeResult))
             result = of(heard, io.ProbeResult)[0]
             assert (result.server, result.status, len(result.load)) == (1, io.Status.OK, 3)
-            channel = w.node.engines.channels[1]
+            channel = w.node.channels.channels[1]
             assert len(channel.links) == 1
             act(w, io.CloseIdle(1))
             await until(lambda: not channel.links)
@@ -105,7 +105,7 @@
             # The router asks again by itself, by its own timer.
             await until(lambda: of(heard, io.FleetChange)[-1].kind is io.ListKind.FULL)
             act(w, io.Subscribe(False))
-            assert w.node.source.stream is None  # type: ignore[attr-defined]
+            assert w.node.source.stream is None
 
     run(go)
 
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -14,8 +14,8 @@
 from tuliptrack.proto import fleet_pb2, lab_pb2
 from tuliptrack.proto import generation_pb2 as pb
 from tuliptrack.rpc.channel import Channel, How, Options
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import Core
-from tuliptrack.rpc.link import now_us
 from tuliptrack.rpc.status import Code
 
 LONG = "answer_least: 150 answer_most: 150 step_ms: 5"
@@ -127,7 +127,7 @@
                 assert (await each.wait()).status.code is Code.OK
                 each.check_tokens()
             assert len(w.seen("call", kind="write", engine=name)) == 1
-            await until(lambda: not w.node.engines._old)  # its channel ends once the stream has
+            await until(lambda: not w.node.channels._old)  # its channel ends once the stream has
 
     run(go)
 
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -17,7 +17,7 @@
 from tuliptrack.lab.judge import Life, Traffic, judge
 from tuliptrack.proto import fleet_pb2, lab_pb2
 from tuliptrack.rpc.channel import ClientCall, End, How
-from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.status import Code, Status
 
 Trouble = Callable[[World], Any]
@@ -125,7 +125,7 @@
                 emit(job)
 
         patch.setattr(engine, "_emit", twice)
-    patch.setattr(w.node, "_in_order", lambda record, message: True)
+    patch.setattr(w.node.engines, "_in_order", lambda record, message: True)
 
 
 COLD = "slots: 8 cold_from: 0.1 cold_ms: 4000 fall_window_ms: 500 answer_least: 40 answer_most: 40"
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,7 +21,7 @@
 from tuliptrack.proto import config_pb2, fleet_pb2, lab_pb2
 from tuliptrack.proto import generation_pb2 as pb
 from tuliptrack.rpc.channel import Channel, ClientCall, End, Options
-from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.clock import now_us
 
 GENERATE = "/tuliptrack.v1.Generation/Generate"
 KINDS = {"r": ("reader", config_pb2.READ), "w": ("writer", config_pb2.WRITE), "m": ("mixed", config_pb2.BOTH)}
--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -12,9 +12,9 @@
 import click
 
 from tuliptrack.cli.errors import BadFile
-from tuliptrack.cli.logs import set_up
 from tuliptrack.config.textformat import ConfigError, read_file
 from tuliptrack.lab.engine import Engine
+from tuliptrack.node.logs import set_up
 from tuliptrack.proto import config_pb2, lab_pb2
 
 __all__ = ["lab"]
--- a/tuliptrack/cli/serve.py
+++ b/tuliptrack/cli/serve.py
@@ -9,8 +9,8 @@
 import click
 
 from tuliptrack.cli.errors import load_config
-from tuliptrack.cli.logs import set_up
 from tuliptrack.config.node import NodeConfig
+from tuliptrack.node.logs import set_up
 from tuliptrack.node.node import Node
 
 __all__ = ["serve"]
--- a/tuliptrack/decisions/gate.py
+++ b/tuliptrack/decisions/gate.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["BODIES_FULL", "Gate", "GateLimits", "Meter"]
+__all__ = ["BODIES_FULL", "Gate", "GateLimits", "Meter", "refusal_text"]
 
 SMOOTHING = 0.05  # weight of one more end in the mean time between two: some twenty tell the pace
 BODIES_FULL = "too many bytes of requests are arriving"
@@ -20,6 +20,11 @@
 MOST_WAIT_US = 2_000_000
 
 
+def refusal_text(reason: str) -> str:
+    """What clients read of a refusal."""
+    return f"refused: {reason}; trying again is harmless"
+
+
 class Meter:
     """Bytes that may be held at once for bodies which are not yet whole. `take` says no where they would be more."""
 
--- a/tuliptrack/fronts/kserve/grpc.py
+++ b/tuliptrack/fronts/kserve/grpc.py
@@ -8,6 +8,7 @@
 from google.protobuf.message import DecodeError
 
 from tuliptrack.config.node import NodeConfig
+from tuliptrack.decisions.gate import refusal_text
 from tuliptrack.fronts.codes import bad_request, failure
 from tuliptrack.fronts.kserve.mapping import (
     INPUTS,
@@ -25,9 +26,9 @@
 from tuliptrack.fronts.kserve.tensors import TensorError, from_contents, from_raw
 from tuliptrack.fronts.port import AskError, Core, Failure, Finish, Ticket, Usage
 from tuliptrack.proto import kserve_pb2 as pb
-from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.server import Server, ServerCall, unary_request
-from tuliptrack.rpc.status import Code, Status, refusal, refusal_text
+from tuliptrack.rpc.status import Code, Status, refusal
 
 __all__ = ["EXTENSIONS", "SERVICE", "install"]
 
--- a/tuliptrack/fronts/kserve/rest.py
+++ b/tuliptrack/fronts/kserve/rest.py
@@ -10,7 +10,7 @@
 from urllib.parse import unquote, urlsplit
 
 from tuliptrack.config.node import NodeConfig
-from tuliptrack.decisions.gate import Meter
+from tuliptrack.decisions.gate import Meter, refusal_text
 from tuliptrack.fronts.kserve.grpc import EXTENSIONS
 from tuliptrack.fronts.kserve.mapping import (
     INPUTS,
@@ -24,9 +24,8 @@
 )
 from tuliptrack.fronts.kserve.tensors import Tensor, TensorError, from_json, from_raw
 from tuliptrack.fronts.port import AskError, Core, Failure, Finish, Ticket, Usage
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Refusal
-from tuliptrack.rpc.link import now_us
-from tuliptrack.rpc.status import refusal_text
 
 __all__ = ["Rest", "make"]
 
--- a/tuliptrack/fronts/port.py
+++ b/tuliptrack/fronts/port.py
@@ -10,7 +10,8 @@
 
 from tuliptrack.decisions.models import Model
 
-__all__ = ["Answer", "Ask", "AskError", "Core", "Failure", "Finish", "Models", "Ticket", "Usage"]
+__all__ = ["Answer", "Ask", "AskError", "Core", "Failure", "Finish", "Models", "RawAnswer", "Ticket",
+           "Usage"]
 
 
 class AskError(Exception):
@@ -47,6 +48,12 @@
     """The client's name for this piece of work, shared by its retries and resumes; empty: none."""
     connection: object = None
     """What stands for the client's connection; compared by identity."""
+    first_by: int | None = None
+    """When the client gives up unless the answer has begun, monotonic microseconds; None: as its class has it."""
+    resumed: bool = False
+    """It asks for the rest of a stream that broke, which its engine can tell from the request itself."""
+    payload: object = None
+    """The request in the client's own protocol, where engines get it unchanged; its front and its engines know it."""
 
 
 class Finish(Enum):
@@ -78,6 +85,8 @@
     """An attempt ended with no word on whether it had run."""
     STALLED = "stalled"
     """The client has left its answer unread for too long."""
+    UNUSABLE = "unusable"
+    """An engine has looked at the request and can't make anything of it."""
 
 
 class Answer(Protocol):
@@ -96,6 +105,13 @@
         """Not served whole; `next_index` is where a resumed stream would go on."""
 
 
+class RawAnswer(Answer, Protocol):
+    """That of a front whose clients speak the engines' own protocol."""
+
+    def events(self, data: bytes) -> bool:
+        """Whole events of the engine's stream, unchanged; as `token` in all else."""
+
+
 class Ticket(Protocol):
     """The core's side of one request."""
 
--- a/tuliptrack/lab/client.py
+++ b/tuliptrack/lab/client.py
@@ -16,7 +16,7 @@
 from tuliptrack.proto import kserve_pb2 as v2
 from tuliptrack.proto import lab_pb2
 from tuliptrack.rpc.channel import Channel, ClientCall, End, How
-from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.status import Code, refusal_details, with_details
 
 __all__ = ["Arrival", "Client", "Try", "arrivals"]
--- a/tuliptrack/lab/day.py
+++ b/tuliptrack/lab/day.py
@@ -22,7 +22,7 @@
 from tuliptrack.lab.judge import Life, Traffic, judge
 from tuliptrack.proto import fleet_pb2, lab_pb2
 from tuliptrack.rpc.channel import Channel, End, Options
-from tuliptrack.rpc.link import now_us
+from tuliptrack.rpc.clock import now_us
 
 __all__ = ["play_day"]
 
--- a/tuliptrack/lab/engine.py
+++ b/tuliptrack/lab/engine.py
@@ -22,8 +22,8 @@
 from tuliptrack.interface import Role
 from tuliptrack.proto import config_pb2, engine_pb2, generation_pb2, lab_pb2
 from tuliptrack.rpc.channel import Channel, ClientCall, End, Options
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import Traffic
-from tuliptrack.rpc.link import now_us
 from tuliptrack.rpc.server import Server, ServerCall, unary_request
 from tuliptrack.rpc.status import Code, Metadata, Status
 
--- /dev/null
+++ b/tuliptrack/node/calls.py
@@ -0,0 +1,167 @@
+"""Engines that speak `tuliptrack.v1.Engine`: the core's attempts as gRPC calls, and what comes of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import structlog
+from google.protobuf.message import DecodeError
+
+from tuliptrack import interface as io
+from tuliptrack.fronts.port import Finish, Usage
+from tuliptrack.node.core import Core
+from tuliptrack.node.engines import Engines, load_of, outcome_of
+from tuliptrack.node.port import Ended
+from tuliptrack.node.requests import Attempt, Held, Record
+from tuliptrack.proto import engine_pb2, generation_pb2
+from tuliptrack.rpc.channel import ClientCall, End, How
+from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.status import Code
+
+__all__ = ["ENGINE", "GrpcCall", "GrpcEngines"]
+
+log = structlog.get_logger("node")
+
+ENGINE = "/tuliptrack.v1.Engine/"
+_SHORT_CALL = 1_000_000  # microseconds for Release, Hold and Probe, which wait in no queue
+_FINISH = {generation_pb2.STOP: Finish.STOP, generation_pb2.LENGTH: Finish.LENGTH}
+_HOW = {io.Status.TIMEOUT: How.TIMEOUT, io.Status.RESET: How.RESET}
+
+
+class GrpcCall:
+    """An attempt that is out, on a call."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: ClientCall) -> None:
+        self.call = call
+
+    def cancel(self, status: io.Status) -> None:
+        self.call.cancel(_HOW.get(status, How.CANCELLED))
+
+    def pause(self) -> None:
+        self.call.pause()
+
+    def resume(self) -> None:
+        self.call.resume()
+
+
+class GrpcEngines:
+    """See `node/port.py`; the channels are `Engines`'."""
+
+    def __init__(self, core: Core, channels: Engines) -> None:
+        self.core, self.channels = core, channels
+
+    def reaches(self, server: int) -> bool:
+        return self.channels.channel(server) is not None
+
+    def begin(self, record: Record, attempt: Attempt, timeout: int) -> GrpcCall:
+        if attempt.reading:
+            read = engine_pb2.ReadRequest(work=self._work(record, attempt))
+            return self._call("Read", read.SerializeToString(), record, attempt, self._read_message)
+        write = engine_pb2.WriteRequest(work=self._work(record, attempt))
+        if record.held:
+            write.state.state_id, write.state.address = record.held.state_id, record.held.address
+        return self._call("Write", write.SerializeToString(), record, attempt, self._token)
+
+    def _call(self, method: str, message: bytes, record: Record, attempt: Attempt,
+              on_message: Callable[[Record, Attempt, bytes], None]) -> GrpcCall:
+        channel = self.channels.channel(attempt.server)
+        assert channel
+        return GrpcCall(channel.call(
+            ENGINE + method, message=message, on_message=lambda data: on_message(record, attempt, data),
+            on_end=lambda end: self._over(record, attempt, end)))
+
+    def _over(self, record: Record, attempt: Attempt, end: End) -> None:
+        status = outcome_of(end)
+        lost = status is io.Status.FULL and end.status.code is Code.FAILED_PRECONDITION
+        self.core.attempt_over(record, attempt, Ended(
+            status, end.status.message, lost, load_of(end, attempt.server), detail=end))
+
+    def _work(self, record: Record, attempt: Attempt) -> engine_pb2.Work:
+        ask = record.ask
+        work = engine_pb2.Work(
+            request_id=record.name, request_class=ask.request_class, tenant=ask.tenant,
+            session=ask.session, prefix=ask.prefix, prompt=ask.prompt, prompt_tokens=ask.prompt_tokens,
+            prefix_tokens=ask.prefix_tokens, max_tokens=ask.max_tokens, attempt=attempt.number,
+            model=record.model.name, model_version=record.model.version)
+        if ask.resume_index:
+            work.resume.next_index, work.resume.text = ask.resume_index, ask.resume_text
+        return work
+
+    def _read_message(self, record: Record, attempt: Attempt, data: bytes) -> None:
+        try:
+            answer = engine_pb2.ReadResponse.FromString(data)
+        except DecodeError:
+            self._engine_fault(record, attempt, "malformed ReadResponse")
+            return
+        address = self.channels.addresses.get(attempt.server, "")
+        self.core.read(record, attempt, Held(attempt.server, answer.state_id, address), answer.kept_tokens)
+
+    def _engine_fault(self, record: Record, attempt: Attempt, reason: str) -> None:
+        """An engine speaks nonsense: the attempt is broken off as an error of its."""
+        log.warning("engine fault", request=record.id, server=attempt.server, reason=reason)
+        if attempt.call:
+            attempt.call.cancel(io.Status.RESET)
+
+    def _token(self, record: Record, attempt: Attempt, data: bytes) -> None:
+        """A token has come from a writer."""
+        if record.out is not attempt or record.ended:
+            return
+        try:
+            message = generation_pb2.GenerateResponse.FromString(data)
+        except DecodeError:
+            self._engine_fault(record, attempt, "malformed GenerateResponse")
+            return
+        if not self._in_order(record, message):
+            self._engine_fault(record, attempt, f"token {message.index} came, {record.next_index} was to come")
+            return
+        if not self.core.answers(record, attempt):
+            return
+        record.next_index += 1
+        usage = None
+        if message.finish_reason:
+            record.finish = _FINISH.get(message.finish_reason, Finish.STOP)
+            ask = record.ask
+            usage = Usage(ask.prompt_tokens, record.cached_tokens, record.next_index - ask.resume_index)
+        self.core.passed(record, attempt, record.answer.token(message.index, message.text, record.finish, usage))
+
+    def _in_order(self, record: Record, message: generation_pb2.GenerateResponse) -> bool:
+        """No token reaches a client twice, out of turn, or after the last one."""
+        return message.index == record.next_index and not record.finish
+
+    def release(self, server: int, record: Record, again: bool = True) -> None:
+        """Tell an engine to let go of what it holds; once more where that call broke."""
+        channel = self.channels.channel(server)
+        if channel is None:
+            return
+
+        def ended(end: End) -> None:
+            if again and end.how is How.RESET:
+                self.release(server, record, again=False)
+
+        request = engine_pb2.ReleaseRequest(request_id=record.name)
+        channel.call(ENGINE + "Release", message=request.SerializeToString(), timeout=_SHORT_CALL, on_end=ended)
+
+    def hold(self, server: int, record: Record, attempt: Attempt) -> None:
+        channel, got = self.channels.channel(server), list[bytes]()
+        if channel is None:
+            return
+
+        def ended(end: End) -> None:
+            held = end.status.code is Code.OK and bool(got) and engine_pb2.HoldResponse.FromString(got[0]).held
+            self.core.place_noted(record, attempt, server, held)
+
+        request = engine_pb2.HoldRequest(work=self._work(record, attempt))
+        channel.call(ENGINE + "Hold", message=request.SerializeToString(), timeout=_SHORT_CALL,
+                     on_message=got.append, on_end=ended)
+
+    def probe(self, server: int, done: Callable[[io.ProbeResult], None]) -> None:
+        channel, sent = self.channels.channel(server), now_us()
+        if channel:
+            channel.call(ENGINE + "Probe", message=b"", timeout=_SHORT_CALL, on_end=lambda end: done(
+                io.ProbeResult(server, outcome_of(end), now_us() - sent, load_of(end, server))))
+
+    def close_idle(self, server: int) -> None:
+        if channel := self.channels.channels.get(server):
+            channel.close_idle()
--- a/tuliptrack/cli/logs.py
+++ b/tuliptrack/node/logs.py
@@ -10,11 +10,11 @@
 __all__ = ["set_up"]
 
 
-def set_up(json_lines: bool, quiet: bool = False) -> None:
-    """Configure structlog for the process; `quiet` keeps warnings and worse."""
+def set_up(json_lines: bool, quiet: bool = False, colours: bool | None = None) -> None:
+    """Configure structlog for the process; `quiet` keeps warnings and worse; `colours` None: on a terminal."""
     renderer: structlog.typing.Processor = (
         structlog.processors.JSONRenderer() if json_lines else structlog.dev.ConsoleRenderer(
-            colors=sys.stderr.isatty(), exception_formatter=structlog.dev.plain_traceback))
+            colors=sys.stderr.isatty() if colours is None else colours, exception_formatter=structlog.dev.plain_traceback))
     chain: list[structlog.typing.Processor] = [
         structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True)]
     if json_lines:
--- /dev/null
+++ b/tuliptrack/node/port.py
@@ -0,0 +1,67 @@
+"""What the core and its engines say to each other. An `Engines` carries attempts out in its protocol's words and tells
+the core what came of them; it decides nothing. The core knows no protocol.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any, Protocol
+
+from tuliptrack.interface import ProbeResult, Status
+
+if TYPE_CHECKING:
+    from tuliptrack.node.requests import Attempt, Record
+
+__all__ = ["Call", "Ended", "Engines"]
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """How an attempt ended, in the router's terms."""
+
+    status: Status
+    reason: str = ""
+    """For logs and for the client of a stream that broke."""
+    state_lost: bool = False
+    """With `FULL`: the read state that it came for is gone."""
+    load: tuple[float, ...] = ()
+    """The load report that came along, in the order of `Settings.report_fields`; nothing where there was none."""
+    unusable: bool = False
+    """The engine can't make anything of the request, and no other would."""
+    detail: Any = None
+    """What the protocol itself says of the end, for accounts that know it."""
+
+
+class Call(Protocol):
+    """An attempt that is out."""
+
+    def cancel(self, status: Status) -> None:
+        """Give it up: the engine sees its connection or stream end. The core is told of the end, as `status`, at once."""
+
+    def pause(self) -> None:
+        """Take no more of its answer for now."""
+
+    def resume(self) -> None: ...
+
+
+class Engines(Protocol):
+    """What carries out attempts. Ends are told through `Core.attempt_over`, never from within these calls."""
+
+    def reaches(self, server: int) -> bool:
+        """Whether a list has named this server's address."""
+
+    def begin(self, record: Record, attempt: Attempt, timeout: int) -> Call:
+        """Make an attempt, for which the node will wait so many microseconds."""
+
+    def release(self, server: int, record: Record) -> None:
+        """Let go of what is held for a request; tried again where the engine wasn't reached."""
+
+    def hold(self, server: int, record: Record, attempt: Attempt) -> None:
+        """Ask for a place; the word on it goes to `Core.place_noted`."""
+
+    def probe(self, server: int, done: Callable[[ProbeResult], None]) -> None:
+        """Check a server."""
+
+    def close_idle(self, server: int) -> None:
+        """Close idle connections to it."""
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -23,8 +23,8 @@
 from tuliptrack.decisions.models import Model
 from tuliptrack.fronts.port import Answer, Ask, Finish
 from tuliptrack.interface import Cause
+from tuliptrack.node.port import Call
 from tuliptrack.node.zones import Move
-from tuliptrack.rpc.channel import ClientCall
 
 __all__ = ["Attempt", "Held", "Record", "State", "Table"]
 
@@ -64,7 +64,7 @@
     server: int
     sent: int
     """Monotonic microseconds."""
-    call: ClientCall | None = None
+    call: Call | None = None
     reading: bool = False
     """It is out at a reader."""
     cut_at_due: bool = False
--- /dev/null
+++ b/tuliptrack/relay/__main__.py
@@ -0,0 +1,167 @@
+"""One node on the platform: `python -m tuliptrack.relay`, told all by its environment (see `config.py`).
+
+SIGHUP reads the settings' file anew and follows the list's new address. SIGTERM or SIGINT: new requests are still served for
+a moment, since clients go on sending until they have noticed; then what is open ends, and the program.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import os
+import secrets
+import signal
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+import structlog
+
+from tuliptrack import interface as io
+from tuliptrack.decisions.gate import GateLimits, Meter
+from tuliptrack.node.core import Core, CoreLimits
+from tuliptrack.node.logs import set_up
+from tuliptrack.relay.config import RelayConfig, RelayConfigError, load
+from tuliptrack.relay.discovery import Discovery, ListError, Members
+from tuliptrack.relay.engines import HttpEngines
+from tuliptrack.relay.front import Front
+from tuliptrack.rpc.http1 import HttpLimits
+from tuliptrack.rpc.http1_client import ClientOptions, Connections
+
+__all__ = ["Relay", "main"]
+
+log = structlog.get_logger("relay")
+_SWEEP_S = 0.25  # seconds between looks at silent streams, stalled clients and idle connections
+_RETIRE_S = 0.6  # after SIGTERM, while clients may still send anew
+_BODY = 262_144  # bytes of one body, in or out, by the protocol
+
+
+class Relay(Core):
+    """One node. `start`, then `stop`; between them it serves."""
+
+    def __init__(self, config: RelayConfig) -> None:
+        self.config = config
+        clients, engines = int(config.sockets * 0.45), int(config.sockets * 0.4)
+        super().__init__(config.settings, config.seed or secrets.randbits(63), config.name, CoreLimits(answer_ahead=20_000),
+                         GateLimits(min(config.open_requests, clients), clients, 1))
+        idle = config.idle or 15_000_000
+        self.channels = self.engines = HttpEngines(self, ClientOptions(
+            connect_timeout=config.settings.connect_timeout, idle=max(idle - 2_000_000, idle // 2), body_bytes=_BODY),
+            Connections(engines), config.report_names)
+        self.front = Front(self, HttpLimits(
+            header_bytes=16_384, body_bytes=_BODY, request_within=2_500_000, first_within=2_500_000, idle=30_000_000,
+            connections=clients), Meter(config.memory_bytes // 8), Meter(config.memory_bytes // 6))
+        self.members = Members(config.kinds, config.zones)
+        self.source = Discovery(config.discovery, lambda: max(self.members.revision, 0), self.listed,
+                                config.settings.connect_timeout)
+        self._sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> str:
+        """Serve; returns host:port."""
+        self.listed(self.config.known, cached=True)
+        self.source.start()
+        host, _, port = self.config.listen.rpartition(":")
+        address = await self.front.server.listen(host, int(port))
+        self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
+        self.front.ready = True
+        log.info("serving", address=address, name=self.config.name, pid=os.getpid(), sockets=self.config.sockets,
+                 memory_mb=self.config.memory_bytes >> 20, servers=len(self.members.addresses))
+        return address
+
+    def listed(self, told: Mapping[str, Any], cached: bool = False) -> None:
+        """A list of engines has come."""
+        try:
+            change = self.members.take(told, cached)
+        except ListError as error:
+            log.warning("server list not taken", reason=str(error))
+            if not cached:
+                raise
+            change = io.FleetChange(io.ListKind.CACHED)
+        if change is None:
+            log.warning("server list not taken", reason=f"older than revision {self.members.revision}")
+            return
+        # The router goes first: what it stops sending to may then be let go.
+        self.tell(change)
+        self.channels.listed(self.members.addresses)
+        if change.servers or cached:
+            log.info("server list", kind=change.kind.value, version=change.version, servers=len(self.members.addresses),
+                     changed=[f"{s.state.value}:{s.id % 1_000_000}" for s in change.servers] if not cached else [])
+
+    async def reload(self) -> None:
+        """Read the settings' file anew: the list's new address holds from now on. What else has changed waits for the
+        next start, as requests in flight were let in under the old settings."""
+        try:
+            config = load(os.environ)
+        except RelayConfigError as error:
+            log.error("settings not taken", reason=str(error))
+            return
+        log.info("settings read anew", discovery=config.discovery)
+        if config.discovery != self.source.address:
+            await self.source.move(config.discovery)
+
+    async def stop(self, grace: float) -> None:
+        """Serve a moment longer, each connection once; take nothing new; end what is left after `grace` seconds."""
+        server = self.front.server
+        server.last = True
+        server.close_free()
+        await asyncio.sleep(_RETIRE_S)
+        self.front.ready, self.stopping = False, True
+        await server.stop(grace)
+        await self.source.close()
+        self.end()
+        if self._sweeper:
+            self._sweeper.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._sweeper
+        await self.channels.close()
+        log.info("stopped", **{state.value: n for state, n in self.table.ends.items()})
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_S)
+            self.sweep()
+            self.channels.sweep()
+
+
+async def _run(config: RelayConfig) -> None:
+    loop, stop, reload = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+    for name in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(name, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, reload.set)
+    relay = Relay(config)
+    await relay.start()
+    gc.freeze()
+
+    async def reloads() -> None:
+        while True:
+            await reload.wait()
+            reload.clear()
+            await relay.reload()
+
+    reloading = loop.create_task(reloads())
+    await stop.wait()
+    reloading.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await reloading
+    longest = max(c.deadline for c in config.settings.classes) / 1e6
+    await relay.stop(longest * 4)
+
+
+def main() -> int:
+    """Run a node until it is told to stop; 2 where its settings can't be used or it can't listen."""
+    set_up(json_lines=False, colours=False)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served
+    try:
+        asyncio.run(_run(load(os.environ)))
+    except RelayConfigError as error:
+        log.error("settings not usable", reason=str(error))
+        return 2
+    except OSError as error:
+        log.error("can't serve", reason=str(error))
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tuliptrack/relay/discovery.py
@@ -0,0 +1,175 @@
+"""The list of engines, from the platform's discovery: one watch after another, and the whole list after a gap."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import math
+import random
+import time
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import structlog
+
+from tuliptrack.interface import FleetChange, ListKind, Server, ServerState
+from tuliptrack.node.core import key
+from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.http1_client import ClientOptions, Connections, Exchange, How, Pool
+from tuliptrack.sources.starts import Starts
+
+__all__ = ["Discovery", "ListError", "Members"]
+
+log = structlog.get_logger("discovery")
+MOST_MEMBERS = 10_000
+_WAIT_MS = 4_000  # a watch waits so long; then its answer, empty perhaps, shows that the agent still speaks
+_LATE_S = 1.0  # and so much longer until it is held to be dead
+_CALL_S = 2.0  # for the whole list, which comes at once
+_AGAIN_S = (0.05, 1.0)  # between failed calls: from, and doubling to; jittered
+_STATES = {"Ready": ServerState.READY, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
+
+
+class ListError(Exception):
+    """A list that can't be taken; the text names the entry and the field."""
+
+
+class Members:
+    """The list held, in the router's terms. A list with anything wrong in it is turned down whole, the old one holds."""
+
+    def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.revision = -1
+        self.addresses: dict[int, str] = {}
+        """Of servers listed and not gone."""
+        self.names: dict[int, str] = {}
+        self._starts = Starts()
+
+    def take(self, told: Any, cached: bool = False) -> FleetChange | None:
+        """A list or a change; None where it is older than what is held. ListError leaves all as it was."""
+        if not isinstance(told, dict) or not isinstance(told.get("members", []), list):
+            raise ListError("must be an object with members")
+        revision = told.get("revision", 0)
+        if not isinstance(revision, int) or isinstance(revision, bool) or revision < 0:
+            raise ListError(f"revision: must be a whole number, is {str(revision)[:40]!r}")
+        members = told.get("members", [])
+        if len(members) > MOST_MEMBERS:
+            raise ListError(f"members: {len(members)} entries, {MOST_MEMBERS} at most")
+        if revision < self.revision:
+            return None
+        whole = cached or told.get("complete") is True
+        now, wall = now_us(), time.time_ns() // 1000
+        servers: dict[int, tuple[Server, str, str]] = {}
+        for place, entry in enumerate(members):
+            server, address, name = self._entry(entry, f"members[{place}]", now, wall)
+            servers[server.id] = (server, address, name)
+        self.revision = revision
+        if whole:
+            self.addresses, self.names = {}, {}
+        for server, address, name in servers.values():
+            if server.state is ServerState.GONE:
+                self.addresses.pop(server.id, None)
+                self.names.pop(server.id, None)
+            else:
+                self.addresses[server.id], self.names[server.id] = address, name
+        self._starts.keep(self.addresses)
+        kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
+        return FleetChange(kind, revision & 0xFFFFFFFF, tuple(server for server, _, _ in servers.values()))
+
+    def _entry(self, entry: Any, place: str, now: int, wall: int) -> tuple[Server, str, str]:
+        if not isinstance(entry, dict):
+            raise ListError(f"{place}: must be an object")
+        name, state = entry.get("id"), _STATES.get(str(entry.get("phase")))
+        if not isinstance(name, str) or not name:
+            raise ListError(f"{place}.id: is required")
+        if state is None:
+            raise ListError(f"{place}.phase: {str(entry.get('phase'))[:40]!r} is unknown")
+        kind = self.kinds.get(str(entry.get("flavor")))
+        address = str(entry.get("host_port", ""))
+        host, _, port = address.rpartition(":")
+        if state is not ServerState.GONE:
+            if kind is None:
+                raise ListError(f"{place}.flavor: {str(entry.get('flavor'))[:40]!r} is not among the settings' kinds")
+            if not host or not port.isdigit() or not 0 < int(port) <= 65_535:
+                raise ListError(f"{place}.host_port: must be host:port, is {address[:80]!r}")
+        size, since, cell = entry.get("size", 1.0), entry.get("up_since_ms", 0), entry.get("cell", 0)
+        for field, value in (("size", size), ("up_since_ms", since), ("cell", cell)):
+            if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
+                raise ListError(f"{place}.{field}: must be a number from 0, is {str(value)[:40]!r}")
+        server = key(name)
+        return Server(server, kind or 0, state, float(size) or 1.0, int(cell),
+                      self.zones.get(str(entry.get("locality")), 0),
+                      self._starts.monotonic(server, int(since * 1000), now, wall)), address, name
+
+
+class Discovery:
+    """Watches one agent; `move` turns to another. `tell` gets each answer's JSON, in order."""
+
+    def __init__(self, address: str, revision: Callable[[], int], tell: Callable[[Mapping[str, Any]], None],
+                 connect_timeout: int) -> None:
+        self.address, self.revision, self.tell = address, revision, tell
+        self.options = ClientOptions(connect_timeout=max(connect_timeout, 250_000), rest=0, body_bytes=16_777_216)
+        self._task: asyncio.Task[None] | None = None
+        self._fetch = asyncio.Event()
+
+    def start(self) -> None:
+        self._task = asyncio.get_running_loop().create_task(self._run(self.address))
+
+    def subscribe(self, on: bool) -> None:
+        """The watch always stands."""
+
+    def fetch(self) -> None:
+        """Ask for the whole list with the next call."""
+        self._fetch.set()
+
+    async def move(self, address: str) -> None:
+        """Watch another agent from now on; the whole list is asked for first."""
+        await self.close()
+        self.address = address
+        self.start()
+
+    async def close(self) -> None:
+        if self._task:
+            self._task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._task
+            self._task = None
+
+    async def _run(self, address: str) -> None:
+        pool = Pool(address, self.options, Connections(2))
+        again, known = _AGAIN_S[0], False
+        try:
+            while True:
+                whole = not known or self._fetch.is_set()
+                self._fetch.clear()
+                path = "/api/targets" if whole else f"/api/targets?since={self.revision()}&timeout_ms={_WAIT_MS}"
+                try:
+                    told = await self._get(pool, path, _CALL_S if whole else _WAIT_MS / 1e3 + _LATE_S)
+                    self.tell(told)
+                    again, known = _AGAIN_S[0], True
+                except (OSError, ListError, ValueError) as error:
+                    log.warning("discovery not heard", address=address, reason=str(error)[:200] or "no answer in time")
+                    known = known and not isinstance(error, ListError)
+                    await asyncio.sleep(again * (0.5 + random.random()))
+                    again = min(again * 2, _AGAIN_S[1])
+        finally:
+            await pool.close()
+
+    async def _get(self, pool: Pool, path: str, within: float) -> Any:
+        """One answer's JSON; OSError where there is none (a time-out is one too), ValueError where it isn't JSON."""
+        done: asyncio.Future[tuple[How, str]] = asyncio.get_running_loop().create_future()
+        parts: list[bytes] = []
+        exchange = Exchange("GET", path, [("host", self.address)])
+        exchange.on_data = parts.append
+        exchange.on_end = lambda how, reason: None if done.done() else done.set_result((how, reason))
+        pool.send(exchange)
+        try:
+            how, reason = await asyncio.wait_for(done, within)
+        finally:
+            exchange.cancel()
+        if how is not How.ANSWER:
+            raise OSError(reason)
+        if exchange.status != 200:
+            raise OSError(f"answered {exchange.status}")
+        return json.loads(b"".join(parts))
--- /dev/null
+++ b/tuliptrack/relay/engines.py
@@ -0,0 +1,287 @@
+"""Engines on the platform's HTTP: the core's attempts as requests, and what comes of them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import math
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import cast
+
+import structlog
+
+from tuliptrack import interface as io
+from tuliptrack.fronts.port import Finish, RawAnswer
+from tuliptrack.node.core import Core
+from tuliptrack.node.port import Ended
+from tuliptrack.node.requests import Attempt, Held, Record
+from tuliptrack.rpc.h1 import Answer, Fields
+from tuliptrack.rpc.http1_client import ClientOptions, Connections, Exchange, How, Pool
+
+__all__ = ["HttpEngines", "Inbound", "load_of"]
+
+log = structlog.get_logger("engines")
+_REPORT = "x-load-report"
+_REJECTED = "x-rejected"
+_MOST_EVENT = 65_536  # bytes of one event of a stream; past it the stream is spoilt
+_MOST_WORD = 65_536  # bytes of an answer that is no stream
+_RELEASE_S = 0.15  # for one try at letting go
+_RELEASE_TRIES = 8  # at one engine after another: any of them lets go of what is held anywhere
+_MOST_RELEASES = 512  # tries of that kind that are out at once
+_STATUS = {How.CONNECT: io.Status.CONNECT_FAILED, How.NO_ROOM: io.Status.MOOT, How.RESET: io.Status.RESET}
+
+
+@dataclass(frozen=True, slots=True)
+class Inbound:
+    """A client's request as it came, which engines get unchanged."""
+
+    call_id: str
+    method: str
+    target: str
+    body: bytes
+    fields: Fields
+    """What of its head goes on to engines."""
+
+
+def load_of(text: str | bytes, names: tuple[str, ...]) -> tuple[float, ...]:
+    """The values of a load report, in this order; nothing where it can't be read. One that is missing counts as 0."""
+    try:
+        told = json.loads(text)
+    except (ValueError, RecursionError):
+        return ()
+    if not isinstance(told, Mapping):
+        return ()
+    values = tuple(told.get(name, 0.0) for name in names)
+    if any(isinstance(v, bool) or not isinstance(v, int | float) or not math.isfinite(v) or not 0 <= v < 1e9
+           for v in values):
+        return ()
+    return tuple(float(v) for v in values)
+
+
+class _Attempt:
+    """One attempt that is out; see `node.port.Call`."""
+
+    __slots__ = ("_body", "_load", "_over", "_status", "_whole", "attempt", "engines", "exchange", "record")
+
+    def __init__(self, engines: HttpEngines, record: Record, attempt: Attempt, exchange: Exchange) -> None:
+        self.engines, self.record, self.attempt, self.exchange = engines, record, attempt, exchange
+        self._body = bytearray()
+        self._load: tuple[float, ...] = ()
+        self._whole = False
+        """The stream has said that it is complete."""
+        self._status, self._over = io.Status.CANCELLED, False
+        exchange.on_head, exchange.on_data, exchange.on_end = self._head, self._data, self._end
+
+    def cancel(self, status: io.Status) -> None:
+        self._status = status
+        self.exchange.cancel()
+
+    def pause(self) -> None:
+        self.exchange.pause()
+
+    def resume(self) -> None:
+        self.exchange.resume()
+
+    @property
+    def _streams(self) -> bool:
+        return self.exchange.status == 200 and not self.attempt.reading
+
+    def _head(self, head: Answer) -> None:
+        for name, value in head.fields:
+            if name == _REPORT:
+                self._load = load_of(value, self.engines.report_names)
+            elif name == _REJECTED and value.strip() == "1":
+                self._over = True
+
+    def _data(self, data: bytes) -> None:
+        self._body += data
+        if self._streams:
+            self._events()
+        elif len(self._body) > _MOST_WORD:
+            self._spoilt("an answer that is too long")
+
+    def _spoilt(self, reason: str) -> None:
+        log.warning("engine fault", request=self.record.id, server=self.attempt.server, reason=reason)
+        self.cancel(io.Status.RESET)
+
+    def _events(self) -> None:
+        """Pass on the events that have come whole."""
+        end = self._body.rfind(b"\n\n") + 2
+        if end < 2:
+            if len(self._body) > _MOST_EVENT:
+                self._spoilt("an event without an end")
+            return
+        whole = bytes(self._body[:end])
+        del self._body[:end]
+        events = []
+        for event in whole[:-2].split(b"\n\n"):
+            if event.startswith(b":"):
+                name, _, value = event[1:].decode("latin-1").partition(":")
+                if name.strip().lower() == _REPORT:
+                    self._load = load_of(value, self.engines.report_names) or self._load
+            elif event.startswith(b"data:"):
+                events.append(event)
+                if event.startswith(b'data: {"choices":[]'):
+                    self._usage(event[5:])
+                self._whole = self._whole or event[5:].strip() == b"[DONE]"
+            else:
+                self._spoilt("something that is no event")
+                return
+        if not events or not self.engines.core.answers(self.record, self.attempt):
+            return
+        data = whole if len(events) == whole.count(b"\n\n") else b"\n\n".join(events) + b"\n\n"
+        self.engines.core.passed(self.record, self.attempt, cast(RawAnswer, self.record.answer).events(data))
+
+    def _usage(self, text: bytes) -> None:
+        """How much of the prompt needed no reading, from the event that tells."""
+        try:
+            kept = json.loads(text)["usage"]["prompt_tokens_details"]["cached_tokens"]
+            self.record.cached_tokens = max(0, min(int(kept), self.record.ask.prompt_tokens))
+        except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
+            pass  # It is for the client; the router does without.
+
+    def _end(self, how: How, reason: str) -> None:
+        self.engines.core.attempt_over(self.record, self.attempt, self._ended(how, reason))
+
+    def _ended(self, how: How, reason: str) -> Ended:
+        if how is How.GIVEN_UP:
+            return Ended(self._status, "given up", load=self._load)
+        if how is not How.ANSWER:
+            return Ended(_STATUS[how], reason, load=self._load)
+        status = self.exchange.status
+        if self._over and status in (503, 504):
+            return Ended(io.Status.FULL, "turned away", load=self._load)
+        if self._over and status == 410:
+            return Ended(io.Status.FULL, "the state is gone", True, self._load)
+        if status == 202 and self.attempt.reading:
+            self.engines.core.read(self.record, self.attempt, Held(self.attempt.server, "", ""), self._kept())
+            return Ended(io.Status.OK, load=self._load)
+        if self._streams:
+            if self._body or not self._whole:
+                return Ended(io.Status.RESET, "a stream that isn't whole", load=self._load)
+            self.record.finish = Finish.STOP
+            return Ended(io.Status.OK, load=self._load)
+        return Ended(io.Status.ERROR, f"answered {status}", load=self._load, unusable=400 <= status < 500)
+
+    def _kept(self) -> int:
+        try:
+            return int(json.loads(bytes(self._body))["cached_tokens"])
+        except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
+            return 0
+
+
+class HttpEngines:
+    """See `node/port.py`. Bounds: `Connections` for all engines together, `_MOST_RELEASES`."""
+
+    def __init__(self, core: Core, options: ClientOptions, connections: Connections, report_names: tuple[str, ...]) -> None:
+        self.core, self.options, self.connections, self.report_names = core, options, connections, report_names
+        self.addresses: dict[int, str] = {}
+        self.pools: dict[int, Pool] = {}
+        self._old: list[Pool] = []
+        self._closing: set[asyncio.Task[None]] = set()
+        self._releases: dict[Exchange, asyncio.TimerHandle] = {}
+        self.unreleased = 0
+        """Times that nothing could be told to let go."""
+
+    # -- the list
+
+    def listed(self, addresses: Mapping[int, str]) -> None:
+        """Take the addresses that hold now. Under a new address an engine has new connections; the old ones end with
+        what runs on them."""
+        for server in [s for s in self.pools if self.addresses.get(s) != addresses.get(s)]:
+            self._old.append(self.pools.pop(server))
+        self.addresses = dict(addresses)
+        self.sweep()
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long, and those to engines that have gone."""
+        for pool in self.pools.values():
+            pool.sweep()
+        still = []
+        for pool in self._old:
+            pool.close_idle()
+            if pool.busy:
+                still.append(pool)
+            else:
+                task = asyncio.get_running_loop().create_task(pool.close())
+                self._closing.add(task)
+                task.add_done_callback(self._closing.discard)
+        self._old = still
+
+    def _pool(self, server: int) -> Pool | None:
+        found = self.pools.get(server)
+        if found is None and (address := self.addresses.get(server)):
+            found = self.pools[server] = Pool(address, self.options, self.connections)
+        return found
+
+    def reaches(self, server: int) -> bool:
+        return server in self.addresses
+
+    # -- attempts
+
+    def begin(self, record: Record, attempt: Attempt, timeout: int) -> _Attempt:
+        inbound, pool = cast(Inbound, record.ask.payload), self._pool(attempt.server)
+        assert pool
+        exchange = Exchange(inbound.method, inbound.target, [
+            ("host", pool.address), ("x-call-id", inbound.call_id), ("x-budget", f"{timeout / 1e6:.3f}"), *inbound.fields],
+            inbound.body)
+        made = _Attempt(self, record, attempt, exchange)
+        pool.send(exchange)
+        return made
+
+    # -- letting go
+
+    def release(self, server: int, record: Record) -> None:
+        inbound = cast(Inbound, record.ask.payload)
+        self._release(f"/bootstrap/rooms/{inbound.call_id}", server, _RELEASE_TRIES, frozenset())
+
+    def _release(self, path: str, server: int, tries: int, tried: frozenset[int]) -> None:
+        """One try; the next one goes to another engine, one that is connected first."""
+        pool = self._pool(server)
+        if pool is None or len(self._releases) >= _MOST_RELEASES:
+            self._again(path, server, tries, tried)
+            return
+        exchange = Exchange("DELETE", path, [("host", pool.address)])
+        loop = asyncio.get_running_loop()
+
+        def ended(how: How, reason: str) -> None:
+            self._releases.pop(exchange).cancel()
+            if how is not How.ANSWER:
+                self._again(path, server, tries, tried)
+
+        exchange.on_end = ended
+        self._releases[exchange] = loop.call_later(_RELEASE_S, exchange.cancel)
+        pool.send(exchange)
+
+    def _again(self, path: str, server: int, tries: int, tried: frozenset[int]) -> None:
+        tried |= {server}
+        others = [s for s in self.addresses if s not in tried] or [s for s in self.addresses if s != server]
+        if tries <= 1 or not others or len(self._releases) >= _MOST_RELEASES:
+            self.unreleased += 1
+            log.warning("not let go", path=path, tried=len(tried))
+            return
+        connected = [s for s in others if (pool := self.pools.get(s)) and pool.idle]
+        self._release(path, (connected or others)[0], tries - 1, tried)
+
+    # -- what this protocol has no word for
+
+    def hold(self, server: int, record: Record, attempt: Attempt) -> None:
+        self.core.place_noted(record, attempt, server, False)
+
+    def probe(self, server: int, done: Callable[[io.ProbeResult], None]) -> None:
+        asyncio.get_running_loop().call_soon(done, io.ProbeResult(server, io.Status.ERROR, 0))
+
+    def close_idle(self, server: int) -> None:
+        if pool := self.pools.get(server):
+            pool.close_idle()
+
+    async def close(self) -> None:
+        """Give what is to be let go a moment, then end every connection."""
+        if self._releases:
+            await asyncio.sleep(_RELEASE_S)
+        for pool in [*self.pools.values(), *self._old]:
+            await pool.close()
+        self.pools, self._old = {}, []
+        if self._closing:
+            await asyncio.wait(self._closing)
--- /dev/null
+++ b/tuliptrack/relay/front.py
@@ -0,0 +1,187 @@
+"""Clients on the platform's HTTP: a request's head becomes an `Ask`, its end a status; an engine's events pass through."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+
+from tuliptrack.decisions.gate import Meter, refusal_text
+from tuliptrack.fronts.port import Ask, AskError, Failure, Finish, Ticket, Usage
+from tuliptrack.node.core import Core
+from tuliptrack.relay.engines import Inbound
+from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.h1 import Fields
+from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Refusal
+
+__all__ = ["Front"]
+
+_STATUS = {Failure.DEADLINE: 504, Failure.BROKEN: 502, Failure.HANDED_BACK: 502, Failure.LOST: 502, Failure.STALLED: 502,
+           Failure.UNUSABLE: 400}
+_ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
+_ONWARD = ("content-type", "accept", "x-call-class", "x-caller", "x-route-hash", "x-again", "x-call-info")
+_ONCE = ("x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-info")
+_LONGEST_S = 86_400.0  # a budget past a day is taken for a mistake
+_LEAST_ADVICE_S = 0.001
+
+
+class _Stream:
+    """One request's answer, as the core's `RawAnswer`."""
+
+    __slots__ = ("call", "call_id", "front", "kept")
+
+    def __init__(self, front: Front, call: HttpCall, call_id: str, kept: int) -> None:
+        self.front, self.call, self.call_id, self.kept = front, call, call_id, kept
+
+    def let_go(self) -> None:
+        """Its body need not be kept any more."""
+        self.front.kept.give(self.kept)
+        self.kept = 0
+
+    def over(self) -> None:
+        self.let_go()
+        self.front.open.pop(self.call_id, None)
+
+    def events(self, data: bytes) -> bool:
+        if not self.call.started:
+            self.let_go()
+            self.call.start(200, "text/event-stream")
+        return self.call.send(data)
+
+    def token(self, index: int, text: str, finish: Finish | None, usage: Usage | None) -> bool:
+        raise NotImplementedError("engines of this protocol send events")
+
+    def served(self) -> None:
+        self.over()
+        self.call.end()
+
+    def refused(self, reason: str, retry_after: int) -> None:
+        self.over()
+        advice: Fields = []
+        if retry_after > 0 and self.front.core.settings.may_advise_retry:
+            advice = [("retry-after", f"{max(retry_after / 1e6, _LEAST_ADVICE_S):.3f}")]
+        self.call.error(503, refusal_text(reason), advice)
+
+    def failed(self, how: Failure, reason: str, next_index: int) -> None:
+        self.over()
+        if self.call.started:
+            self.call.abort()
+        else:
+            self.call.error(_STATUS[how], f"failed: {reason}")
+
+
+class Front:
+    """The listener. Bounds: connections, heads and bodies by `HttpLimits`; bodies kept for engines by `kept`."""
+
+    def __init__(self, core: Core, limits: HttpLimits, arriving: Meter, kept: Meter) -> None:
+        self.core, self.kept = core, kept
+        self.server = HttpServer(self._handle, self._early, limits, arriving)
+        self.open: dict[str, _Stream] = {}
+        """Requests by the clients' ids."""
+        self.ready = False
+
+    def _early(self, call: HttpCall) -> Refusal | None:
+        """What is known from the head alone."""
+        if call.method == "POST":
+            reason, wait = self.core.outlook()
+            if reason:
+                return Refusal(503, refusal_text(reason), (("retry-after", f"{wait / 1e6:.3f}"),) if wait else ())
+        return None
+
+    def _handle(self, call: HttpCall) -> None:
+        if call.target in ("/-/ready", "/-/healthy"):
+            self._state(call)
+            return
+        try:
+            self._submit(call)
+        except AskError as error:
+            call.error(404 if error.unknown else 400, str(error))
+
+    def _state(self, call: HttpCall) -> None:
+        if call.method not in ("GET", "HEAD"):
+            call.error(405, f"method: GET expected, is {call.method[:20]}", [("allow", "GET")])
+        elif call.target == "/-/ready" and not self.ready:
+            call.respond(503, b'{"ready": false}')
+        else:
+            call.respond(200, b'{"ready": true}')
+
+    def _submit(self, call: HttpCall) -> None:
+        if call.method != "POST":
+            raise AskError("method", f"POST expected, is {call.method[:20]!r}")
+        names = [name for name, _ in call.fields]
+        for name in _ONCE:
+            if names.count(name) > 1:
+                raise AskError(name, "stands twice")
+        head = call.headers
+        call_id = head.get("x-call-id", "")
+        if not _ID.fullmatch(call_id):
+            raise AskError("x-call-id", "is required" if not call_id else f"{call_id[:60]!r} can't be an id")
+        if call_id in self.open:
+            raise AskError("x-call-id", f"{call_id[:60]!r} is open")
+        _check_body(call.body)
+        ask = self._ask(call, head, call_id)
+        if not self.kept.take(len(call.body)):
+            call.error(503, refusal_text("too many bytes of requests are open"), [("retry-after", "0.100")])
+            return
+        stream = self.open[call_id] = _Stream(self, call, call_id, len(call.body))
+        try:
+            ticket: Ticket = self.core.submit(ask, stream)
+        except AskError:
+            stream.over()
+            raise
+
+        def gone(reason: str) -> None:
+            stream.over()
+            ticket.gone(reason)
+
+        call.on_gone, call.on_writable = gone, ticket.writable
+
+    def _ask(self, call: HttpCall, head: dict[str, str], call_id: str) -> Ask:
+        info = _info(head.get("x-call-info", ""))
+        again = head.get("x-again", "").strip().lower()
+        tokens = _count(info, "prompt_len") or max(round(len(call.body) / self.core.limits.bytes_per_token), 1)
+        return Ask(
+            head.get("x-call-class", ""), "", head.get("x-caller", ""), head.get("x-route-hash", "") or call_id,
+            info.get("prefix", ""), tokens, min(_count(info, "prefix_len"), tokens), _count(info, "max_out"),
+            repeat=again == "1", connection=call.connection, first_by=_first_by(head.get("x-budget")),
+            resumed=again == "again", payload=Inbound(
+                call_id, call.method, call.target, call.body,
+                [(name, value) for name, value in call.fields if name in _ONWARD]))
+
+
+def _check_body(body: bytes) -> None:
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise AskError("body", f"is not JSON ({error})"[:200]) from None
+    if not isinstance(found, dict):
+        raise AskError("body", "must be a JSON object")
+
+
+def _info(text: str) -> dict[str, str]:
+    return {name.strip(): value.strip() for name, sign, value in (one.partition("=") for one in text.split(",")) if sign}
+
+
+def _count(info: dict[str, str], name: str) -> int:
+    told = info.get(name, "")
+    if not told:
+        return 0
+    try:
+        value = float(told)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value) or value < 0:
+        raise AskError(f"x-call-info.{name}", f"must be a number from 0, is {told[:40]!r}")
+    return int(value)
+
+
+def _first_by(told: str | None) -> int | None:
+    if told is None:
+        return None
+    try:
+        seconds = float(told)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds <= _LONGEST_S:
+        raise AskError("x-budget", f"must be seconds above 0, is {told[:40]!r}")
+    return now_us() + int(seconds * 1e6)
--- a/tuliptrack/rpc/channel.py
+++ b/tuliptrack/rpc/channel.py
@@ -15,6 +15,7 @@
 from enum import Enum
 from typing import Any
 
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import (
     CallEnded,
     CallHeaders,
@@ -27,7 +28,7 @@
     Traffic,
     Writable,
 )
-from tuliptrack.rpc.link import Link, now_us
+from tuliptrack.rpc.link import Link
 from tuliptrack.rpc.status import Code, Metadata, Status
 
 __all__ = ["Channel", "ClientCall", "End", "How", "Options"]
--- a/tuliptrack/rpc/core.py
+++ b/tuliptrack/rpc/core.py
@@ -28,7 +28,7 @@
 from h2.stream import StreamState
 from hyperframe.frame import Frame, GoAwayFrame, PingFrame
 
-from tuliptrack.decisions.gate import BODIES_FULL, Meter
+from tuliptrack.decisions.gate import BODIES_FULL, Meter, refusal_text
 from tuliptrack.rpc.status import (
     Code,
     Metadata,
@@ -42,7 +42,6 @@
     from_http,
     from_reset,
     refusal_details,
-    refusal_text,
     with_details,
 )
 
--- /dev/null
+++ b/tuliptrack/rpc/h1.py
@@ -0,0 +1,227 @@
+"""HTTP/1.1 without I/O: bytes in, events out, by h11; the server's side and the client's.
+
+Every size is bounded here: heads, bodies, heads that don't end, answers that go on for ever. What can't be read raises
+`Wrong` with the status that a server would answer; a connection is of no use after it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+__all__ = ["Answer", "Body", "ClientSide", "Done", "Fields", "Head", "Part", "ServerSide", "Wrong"]
+
+Fields = list[tuple[str, str]]
+_MOST_INFORMATIONAL = 8  # 1xx answers before one that counts
+
+
+class Wrong(Exception):
+    """What the peer sent can't be used; `status` is what to answer, where there is somebody to answer."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """A request's head has come; a `Body` follows. Names of fields are in lower case."""
+
+    method: str
+    target: str
+    fields: Fields
+    told: int
+    """Bytes of body that it announces; 0 where it announces none, or chunks."""
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """A part of a body."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """A request's whole body has come."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The head of the answer to our request."""
+
+    status: int
+    fields: Fields
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The answer's last byte has come."""
+
+
+def _fields(raw: Any) -> Fields:
+    return [(name.decode("ascii"), value.decode("latin-1")) for name, value in raw]
+
+
+class ServerSide:
+    """One connection of a server. `receive` bytes, then take `next` until it gives None."""
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+        self.body_bytes = body_bytes
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._chunked = False
+
+    def receive(self, data: bytes) -> None:
+        """Bytes from the peer; none stand for its end."""
+        if not self.http.trailing_data[1]:  # Nothing comes after an end.
+            self.http.receive_data(data)
+
+    @property
+    def begun(self) -> bool:
+        """Whether a part of a request has come that isn't whole."""
+        return self.http.their_state is h11.SEND_BODY or (
+            self.http.their_state is h11.IDLE and bool(self.http.trailing_data[0]))
+
+    @property
+    def ahead(self) -> int:
+        """Bytes that wait here."""
+        return len(self.http.trailing_data[0])
+
+    def next(self) -> Head | Body | Part | None:
+        """What has come; None where more bytes are needed, or an answer is owed first. `Part` tells how much of a body
+        has come beyond what its head announced. Raises `Wrong`."""
+        try:
+            event: Any = self.http.next_event()
+        except h11.RemoteProtocolError as error:
+            raise Wrong(error.error_status_hint, f"request: {error}") from None
+        if isinstance(event, h11.Request):
+            fields = _fields(event.headers)
+            names = [name for name, _ in fields]
+            if "content-length" in names and "transfer-encoding" in names:
+                raise Wrong(400, "request: both Content-Length and Transfer-Encoding")
+            told = int(next((value for name, value in fields if name == "content-length"), "0"))
+            if told > self.body_bytes:
+                raise Wrong(413, f"body: {told} bytes, {self.body_bytes} allowed")
+            self._parts, self._size, self._chunked = [], 0, "transfer-encoding" in names
+            return Head(event.method.decode("ascii"), event.target.decode("latin-1"), fields, told)
+        if isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > self.body_bytes:
+                raise Wrong(413, f"body: more than {self.body_bytes} bytes")
+            self._parts.append(bytes(event.data))
+            return Part(self._parts[-1] if self._chunked else b"")
+        if isinstance(event, h11.EndOfMessage):
+            body, self._parts = b"".join(self._parts), []
+            return Body(body)
+        return None
+
+    @property
+    def over(self) -> bool:
+        """No further request can come on this connection."""
+        return self.http.their_state in (h11.CLOSED, h11.MUST_CLOSE, h11.ERROR)
+
+    def again(self) -> bool:
+        """An answer is complete: get ready for the next request; False where there can be none."""
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    def owes(self) -> bool:
+        """Whether an answer can be begun."""
+        return self.http.our_state in (h11.SEND_RESPONSE, h11.IDLE)
+
+    def wants_continue(self) -> bool:
+        return self.http.they_are_waiting_for_100_continue
+
+    def go_on(self) -> bytes:
+        """100 Continue."""
+        return self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def head(self, status: int, fields: Fields) -> bytes:
+        """An answer's head. Without a content-length it is framed in chunks (to HTTP/1.0: until the close)."""
+        return self._send(h11.Response(status_code=status, headers=fields))
+
+    def part(self, data: bytes) -> bytes:
+        return self._send(h11.Data(data=data))
+
+    def end(self) -> bytes:
+        return self._send(h11.EndOfMessage())
+
+    @property
+    def may_frame(self) -> bool:
+        """Whether an open answer's chunks may be framed by the caller: through h11 each costs 7 us."""
+        return self.http.their_http_version == b"1.1" and self.http.our_state is h11.SEND_BODY
+
+    def _send(self, event: Any) -> bytes:
+        """Bytes to write; Wrong where the connection broke while we answered."""
+        try:
+            return self.http.send(event) or b""
+        except h11.LocalProtocolError as error:
+            raise Wrong(500, f"answer not sent: {error}") from None
+
+
+class ClientSide:
+    """One connection to a server; one request at a time. `body_bytes` bounds an answer's body."""
+
+    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=header_bytes)
+        self.body_bytes = body_bytes
+        self._size = self._informational = 0
+
+    def request(self, method: str, target: str, fields: Fields, body: bytes) -> bytes:
+        """The bytes of a whole request; ValueError where it can't be one."""
+        self._size = self._informational = 0
+        if body or method not in ("GET", "HEAD", "DELETE"):
+            fields = [*fields, ("content-length", str(len(body)))]
+        try:
+            head = self.http.send(h11.Request(method=method, target=target, headers=fields))
+            return b"".join((head or b"", self.http.send(h11.Data(data=body)) or b"" if body else b"",
+                             self.http.send(h11.EndOfMessage()) or b""))
+        except h11.LocalProtocolError as error:
+            raise ValueError(str(error)) from None
+
+    def receive(self, data: bytes) -> None:
+        """Bytes from the peer; none stand for its end."""
+        if not self.http.trailing_data[1]:
+            self.http.receive_data(data)
+
+    def next(self) -> Answer | Part | Done | None:
+        """What has come; None where more is needed. Raises `Wrong` where it can't be read."""
+        try:
+            while True:
+                event: Any = self.http.next_event()
+                if isinstance(event, h11.InformationalResponse):
+                    self._informational += 1
+                    if self._informational > _MOST_INFORMATIONAL:
+                        raise Wrong(502, "answer: no end of 1xx")
+                    continue
+                break
+        except h11.RemoteProtocolError as error:
+            raise Wrong(502, f"answer: {error}") from None
+        if isinstance(event, h11.Response):
+            fields = _fields(event.headers)
+            told = next((value for name, value in fields if name == "content-length"), "0")
+            if int(told) > self.body_bytes:
+                raise Wrong(502, f"answer: {told} bytes, {self.body_bytes} allowed")
+            return Answer(event.status_code, fields)
+        if isinstance(event, h11.Data):
+            self._size += len(event.data)
+            if self._size > self.body_bytes:
+                raise Wrong(502, f"answer: more than {self.body_bytes} bytes")
+            return Part(bytes(event.data))
+        return Done() if isinstance(event, h11.EndOfMessage) else None
+
+    def again(self) -> bool:
+        """An answer is complete: get ready for the next request; False where the connection can't have one, or more has
+        come than was asked for."""
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE or self.http.trailing_data[0]:
+            return False
+        self.http.start_next_cycle()
+        return True
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -1,37 +1,36 @@
-"""An HTTP/1.1 server on asyncio streams: h11 keeps the protocol's state, this the socket, the bounds and the times.
+"""An HTTP/1.1 server on asyncio: `h1.ServerSide` keeps the protocol's state, this the socket, the bounds and the times.
 
-One request at a time on a connection; what a client pipelines waits in the socket until its turn, so answers go out in
-order. A handler is called with the whole body, must not wait, and answers then or later through its `HttpCall`: `respond`,
-or `start`, `send`, `end` for a stream (chunked; to HTTP/1.0 clients until the close).
+One request at a time on a connection; what a client pipelines waits until its turn, so answers go out in order. A handler
+is called with the whole body, must not wait, and answers then or later through its `HttpCall`: `respond`, or `start`,
+`send`, `end` for a stream (chunked; to HTTP/1.0 clients until the close).
 
-Bounds: connections, header and body sizes, the bytes of bodies that arrive (a `Meter` shared with the other servers), the
-time for a whole request, and what waits unsent for a slow reader (`send` says stop, `on_writable` go on). A refusal that
-is known from the headers goes out before the body is read, and the connection is closed after it.
+Bounds: connections (where they are all taken, the one that has been without a request for longest makes room), header and
+body sizes, the bytes of bodies that arrive (a `Meter` shared with the other servers), the time for a first and for any whole
+request, and what waits unsent for a slow reader (`send` says stop, `on_writable` go on). A refusal that is known from the
+headers goes out before the body is read, and the connection is closed after it. No task belongs to a connection: its
+transport calls back, and one timer watches its times.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
-import h11
 import structlog
 
-from tuliptrack.decisions.gate import BODIES_FULL, Meter
-from tuliptrack.rpc.status import refusal_text
+from tuliptrack.decisions.gate import BODIES_FULL, Meter, refusal_text
+from tuliptrack.rpc.h1 import Body, Fields, Head, Part, ServerSide, Wrong
 
 __all__ = ["HttpCall", "HttpLimits", "HttpServer", "Refusal"]
 
 log = structlog.get_logger("rpc.http1")
-_READ = 65_536
 _SEND_BUFFER = 65_536  # bytes that the kernel keeps for a reader that is slow
+_WAITING, _AT_ONCE = 1_024, 16  # connections that wait to be accepted, and that are accepted in one go
 _MOST_AHEAD = 65_536  # bytes of further requests taken off the socket while one is answered
-Headers = list[tuple[str, str]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,6 +41,8 @@
     body_bytes: int = 4_194_304
     pending_high: int = 32_768
     request_within: int = 10_000_000
+    first_within: int = 0
+    """From connecting to the first whole request; 0: as long as the two others allow."""
     idle: int = 60_000_000
     connections: int = 1_024
 
@@ -65,11 +66,12 @@
 class HttpCall:
     """One request and its answer. It ends once: by `respond` or `end`, or by `on_gone` being called."""
 
-    __slots__ = ("_link", "body", "headers", "method", "on_gone", "on_writable", "open", "started", "target")
+    __slots__ = ("_link", "body", "fields", "headers", "method", "on_gone", "on_writable", "open", "started", "target")
 
-    def __init__(self, link: _HttpLink, method: str, target: str, headers: dict[str, str]) -> None:
+    def __init__(self, link: _HttpLink, method: str, target: str, fields: Fields) -> None:
         self._link = link
-        self.method, self.target, self.headers = method, target, headers
+        self.method, self.target, self.fields = method, target, fields
+        self.headers = dict(fields)
         self.body = b""
         self.open, self.started = True, False
         self.on_gone: Callable[[str], None] = _nothing
@@ -79,19 +81,17 @@
     def connection(self) -> object:
         return self._link
 
-    def respond(self, status: int, body: bytes, headers: Headers | None = None, kind: str = "application/json") -> None:
+    def respond(self, status: int, body: bytes, headers: Fields | None = None, kind: str = "application/json") -> None:
         """The whole answer at once."""
         if self.open and not self.started:
-            self._link.begin(status, [("content-type", kind), ("content-length", str(len(body))), *(headers or [])])
-            self.started = True
-            self._link.write(body)
-            self.end()
+            self.started, self.open = True, False
+            self._link.whole(status, [("content-type", kind), ("content-length", str(len(body))), *(headers or [])], body)
 
-    def error(self, status: int, text: str, headers: Headers | None = None, **facts: object) -> None:
+    def error(self, status: int, text: str, headers: Fields | None = None, **facts: object) -> None:
         """An answer of the form {"error": text}."""
         self.respond(status, json.dumps({"error": text, **facts}).encode(), headers)
 
-    def start(self, status: int, kind: str, headers: Headers | None = None) -> None:
+    def start(self, status: int, kind: str, headers: Fields | None = None) -> None:
         if self.open and not self.started:
             self._link.begin(status, [("content-type", kind), ("cache-control", "no-store"), *(headers or [])])
             self.started = True
@@ -105,136 +105,147 @@
             self.open = False
             self._link.finish()
 
+    def abort(self) -> None:
+        """End the connection in mid-answer, so that the client knows it isn't whole."""
+        if self.open:
+            self.open = False
+            self._link.cut()
+
     def gone(self, reason: str) -> None:
         if self.open:
             self.open = False
             self.on_gone(reason)
 
 
-class _HttpLink:
-    """What a connection's answers need of it; its task is `HttpServer._serve`."""
+class _HttpLink(asyncio.Protocol):
+    """One connection."""
 
-    def __init__(self, server: HttpServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.server, self.reader, self.writer = server, reader, writer
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=server.limits.header_bytes)
-        self.done = asyncio.Event()
+    def __init__(self, server: HttpServer) -> None:
+        self.server, self.loop = server, server.loop
+        self.side = ServerSide(server.limits.header_bytes, server.limits.body_bytes)
+        self.transport: asyncio.Transport
         self.call: HttpCall | None = None
+        """The request that is answered."""
+        self._coming: HttpCall | None = None
+        """The request whose body is coming."""
         self.held = 0
-        self.closing = self.chunked = False
-        self._drain: asyncio.Task[None] | None = None
-        writer.transport.set_write_buffer_limits(high=server.limits.pending_high)
-        if (sock := writer.get_extra_info("socket")) is not None:  # The kernel's part is bounded too, not grown to megabytes.
+        """Bytes of the meter's that its body has."""
+        self.closing = self.chunked = self.served = False
+        self._advancing = self._stopped = self._ended = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._begun = False
+
+    # -- the transport's calls
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.connected = self.loop.time()
+        if not self.server.takes(self):
+            transport.abort()
+            return
+        transport.set_write_buffer_limits(high=self.server.limits.pending_high)
+        if (sock := transport.get_extra_info("socket")) is not None:  # The kernel's part is bounded too.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
+        self._watch()
 
-    # -- out
-
-    def begin(self, status: int, headers: Headers) -> None:
-        if self.server.stopping or self.closing:
-            headers = [*headers, ("connection", "close")]
-        # Chunks are plain enough to frame here: through h11 each costs 7 us, and a token stream consists of them.
-        self.chunked = self.http.their_http_version == b"1.1" and all(name != "content-length" for name, _ in headers)
-        self._out(h11.Response(status_code=status, headers=headers))
-
-    def write(self, data: bytes) -> bool:
-        if data and self.chunked and self.http.our_state is h11.SEND_BODY:
-            if not self.writer.is_closing():
-                self.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
-        elif data:
-            self._out(h11.Data(data=data))
-        if self.writer.transport.get_write_buffer_size() <= self.server.limits.pending_high:
-            return True
-        if self._drain is None:
-            self._drain = asyncio.get_running_loop().create_task(self._drained())
-        return False
-
-    def finish(self) -> None:
-        self._out(h11.EndOfMessage())
-        self.done.set()
-
-    def _out(self, event: Any) -> None:
-        try:
-            data = self.http.send(event)
-        except h11.LocalProtocolError as error:  # It broke while we answered.
-            log.info("answer not sent", reason=str(error))
-            self.writer.transport.abort()
+    def data_received(self, data: bytes) -> None:
+        if self.closing and self.call is None:
             return
-        if data and not self.writer.is_closing():
-            self.writer.write(data)
+        self.side.receive(data)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        self.side.receive(b"")
+        self._ended = True
+        if self.call:
+            self.closing = True
+            self.call.gone("the client has closed its connection")
+            return False
+        self._advance()
+        return False
 
-    async def _drained(self) -> None:
-        with contextlib.suppress(OSError):
-            await self.writer.drain()
-        self._drain = None
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.closing = True
+        if self._timer:
+            self._timer.cancel()
+        self.let_go()
+        call, self.call, self._coming = self.call, None, None
+        self.server.left(self)
+        if call:
+            call.gone("the connection has ended")
+
+    def pause_writing(self) -> None:
+        self._stopped = True
+
+    def resume_writing(self) -> None:
+        self._stopped = False
         if self.call and self.call.open:
             self.call.on_writable()
 
     # -- in
 
-    async def more(self) -> bool:
-        """Read once; False at the end."""
-        data = await self.reader.read(_READ)
-        self.http.receive_data(data)
-        return bool(data)
-
-    async def request(self) -> HttpCall | None:
-        """The next whole request, or None where the connection is over (or was answered with an error)."""
-        limits = self.server.limits
-        event: Any = self.http.next_event()
-        while event is h11.NEED_DATA and not self.http.trailing_data[0]:
-            try:
-                await asyncio.wait_for(self.more(), limits.idle / 1e6)
-            except TimeoutError:
-                return None
-            event = self.http.next_event()
+    def _advance(self) -> None:
+        """Deal with what has come: requests, one after another, as long as each is answered at once."""
+        if self._advancing:
+            return
+        self._advancing = True
         try:
-            return await asyncio.wait_for(self._whole(event), limits.request_within / 1e6)
-        except TimeoutError:
-            self.refuse(Refusal(408, f"request: not sent whole within {limits.request_within / 1e6:g} s"))
-            return None
+            while self.call is None and not self.closing and self._step():
+                pass
+        except Wrong as error:
+            self.refuse(Refusal(error.status, error.reason))
+        finally:
+            self._advancing = False
+        if (self.closing and self.call is None) or (self.call is None and self.side.over):
+            self.transport.close()
+        elif self.side.ahead > _MOST_AHEAD and self.call:
+            self.transport.pause_reading()
+        elif self.call is None and self.side.begun != self._begun:
+            self._watch()
+
+    def _step(self) -> bool:
+        """One event; False where more bytes are needed."""
+        event = self.side.next()
+        if event is None:
+            return False
+        if isinstance(event, Head):
+            return self._head(event)
+        coming = self._coming
+        assert coming
+        if isinstance(event, Part):
+            if event.data and not self._hold(len(event.data)):
+                self.refuse(_NO_ROOM)
+        elif isinstance(event, Body):
+            coming.body, self._coming = event.data, None
+            self._whole(coming)
+        return True
 
-    async def _whole(self, event: Any) -> HttpCall | None:
-        limits = self.server.limits
-        while event is h11.NEED_DATA:
-            await self.more()
-            event = self.http.next_event()
-        if not isinstance(event, h11.Request):
-            return None
-        headers = {name.decode("latin-1").lower(): value.decode("latin-1") for name, value in event.headers}
-        call = HttpCall(self, event.method.decode("ascii"), event.target.decode("latin-1"), headers)
-        told = int(headers.get("content-length", "0"))
-        if told > limits.body_bytes:
-            self.refuse(Refusal(413, f"body: {told} bytes, {limits.body_bytes} allowed"))
-            return None
+    def _head(self, head: Head) -> bool:
+        call = HttpCall(self, head.method, head.target, head.fields)
         refusal = self.server.early(call)
-        if refusal is None and told and not self._hold(told):
+        if refusal is None and head.told and not self._hold(head.told):
             refusal = _NO_ROOM
         if refusal:
             self.refuse(refusal)
-            return None
-        if self.http.they_are_waiting_for_100_continue:
-            self._out(h11.InformationalResponse(status_code=100, headers=[]))
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            event = self.http.next_event()
-            if event is h11.NEED_DATA:
-                if not await self.more():
-                    self.http.next_event()  # says what is missing
-                    return None
-            elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
-                    self.refuse(Refusal(413, f"body: more than {limits.body_bytes} bytes"))
-                    return None
-                if size > self.held and not self._hold(size - self.held):
-                    self.refuse(_NO_ROOM)
-                    return None
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                call.body = b"".join(parts)
-                return call
-            else:
-                return None
+            return False
+        if self.side.wants_continue():
+            self.transport.write(self.side.go_on())
+        self._coming = call
+        return True
+
+    def _whole(self, call: HttpCall) -> None:
+        self.call, self.served = call, True
+        self.server.busy(self)
+        if self._timer:
+            self._timer.cancel()
+            self._timer = None
+        try:
+            self.server.handle(call)
+        except Exception:
+            log.exception("handler failed", target=call.target[:200])
+            call.error(500, "the handler failed")
+        self.let_go()
 
     def _hold(self, size: int) -> bool:
         if not self.server.bodies.take(size):
@@ -246,30 +257,110 @@
         self.server.bodies.give(self.held)
         self.held = 0
 
+    # -- out
+
+    def begin(self, status: int, headers: Fields) -> None:
+        self._out(self._first(status, headers))
+
+    def _first(self, status: int, headers: Fields) -> bytes:
+        if self.server.last or self.closing or self._ended:
+            headers = [*headers, ("connection", "close")]
+        self.chunked = all(name != "content-length" for name, _ in headers)
+        try:
+            data = self.side.head(status, headers)
+        except Wrong as error:
+            return self._broke(error)
+        self.chunked = self.chunked and self.side.may_frame
+        return data
+
+    def _broke(self, error: Wrong) -> bytes:
+        log.info("answer not sent", reason=error.reason)
+        self.transport.abort()
+        return b""
+
+    def _out(self, data: bytes) -> None:
+        if data and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def write(self, data: bytes) -> bool:
+        if data and self.chunked:
+            self._out(b"%x\r\n%b\r\n" % (len(data), data))
+        elif data:
+            try:
+                self._out(self.side.part(data))
+            except Wrong as error:
+                self._broke(error)
+        return not self._stopped
+
+    def whole(self, status: int, headers: Fields, body: bytes) -> None:
+        """An answer in one write."""
+        head = self._first(status, headers)
+        if head:
+            try:
+                self._out(head + (self.side.part(body) if body else b""))
+            except Wrong as error:
+                self._broke(error)
+        self.finish()
+
+    def finish(self) -> None:
+        try:
+            self._out(self.side.end())
+        except Wrong as error:
+            self._broke(error)
+        self.call = None
+        self.server.idle(self)
+        if self.server.last or self._ended or self.closing or not self.side.again():
+            self.closing = True
+            self.transport.close()  # What waits unsent still goes out.
+            return
+        self._watch()
+        if not self._advancing:
+            self.transport.resume_reading()
+            self.loop.call_soon(self._advance)
+
+    def cut(self) -> None:
+        """End the connection in mid-answer; what was sent of it still goes out."""
+        self.call, self.closing = None, True
+        self.transport.close()
+
     def refuse(self, refusal: Refusal) -> None:
         """Answer without having read the request, and close."""
         self.closing = True
-        if self.http.our_state in (h11.SEND_RESPONSE, h11.IDLE):
+        self.let_go()
+        if self.side.owes():
             body = json.dumps({"error": refusal.error}).encode()
-            self.begin(refusal.status, [("content-type", "application/json"), ("content-length", str(len(body))),
-                                        *refusal.headers])
-            self._out(h11.Data(data=body))
-            self._out(h11.EndOfMessage())
-
-    async def watch(self) -> None:
-        """While a request is answered: notice that the client leaves, take a little of what it pipelines."""
-        ahead = 0
-        while ahead < _MOST_AHEAD:
-            data = await self.reader.read(_READ)
-            if not data:
-                if self.call:
-                    self.call.gone("the client has closed its connection")
-                self.closing = True
-                self.done.set()
-                return
-            ahead += len(data)
-            self.http.receive_data(data)
-        await asyncio.Event().wait()  # The rest waits in the socket.
+            self._out(self._first(refusal.status, [
+                ("content-type", "application/json"), ("content-length", str(len(body))), *refusal.headers]))
+            try:
+                self._out(self.side.part(body) + self.side.end())
+            except Wrong as error:
+                self._broke(error)
+        self.transport.close()
+
+    # -- times
+
+    def _watch(self) -> None:
+        """Set the timer for what is to come next: a request's start, or its end."""
+        limits = self.server.limits
+        self._begun = self.side.begun
+        if self._timer:
+            self._timer.cancel()
+        now = self.loop.time()
+        at = now + (limits.request_within if self._begun else limits.idle) / 1e6
+        if limits.first_within and not self.served:
+            at = min(at, self.connected + limits.first_within / 1e6)
+        self._timer = self.loop.call_later(max(at - now, 0), self._late)
+
+    def _late(self) -> None:
+        self._timer = None
+        if self.call:
+            return
+        if self.side.begun:
+            within = self.server.limits.request_within / 1e6
+            self.refuse(Refusal(408, f"request: not sent whole within {within:g} s"))
+        else:
+            self.closing = True
+            self.transport.close()
 
 
 class HttpServer:
@@ -279,98 +370,94 @@
                  limits: HttpLimits | None = None, bodies: Meter | None = None) -> None:
         self.handle, self.early, self.limits = handle, early, limits or HttpLimits()
         self.bodies = bodies or Meter(2**40)
-        self.links: dict[_HttpLink, asyncio.Task[None]] = {}
-        self.stopping = False
-        self.turned_away = 0
+        self.links: dict[_HttpLink, None] = {}
+        """Every connection."""
+        self._free: dict[_HttpLink, None] = {}
+        """Those without a request, the longest without one first."""
+        self.last = self.stopping = False
+        """`last`: each connection closes with its next answer."""
+        self.turned_away = self.made_room = 0
+        self.loop: asyncio.AbstractEventLoop
         self._server: asyncio.Server | None = None
+        self._empty: asyncio.Event | None = None
         self.address = ""
 
     async def listen(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Start; returns host:port, with the kernel's choice for port 0."""
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
+        self.loop = asyncio.get_running_loop()
+        self._empty = asyncio.Event()
+        # asyncio accepts as many at once as it lets wait, before any is looked at: few, so that a flood of connections
+        # can't take descriptors past the bound. The kernel may let more wait.
+        sock = socket.create_server((host, port), backlog=_WAITING)
+        self._server = await self.loop.create_server(lambda: _HttpLink(self), sock=sock, backlog=_AT_ONCE)
+        sock.listen(_WAITING)
         name = self._server.sockets[0].getsockname()
         self.address = f"{name[0]}:{name[1]}"
         return self.address
 
-    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    # -- what its connections tell
+
+    def takes(self, link: _HttpLink) -> bool:
+        """Whether a new connection has room, made if need be; it is one of ours if so."""
+        if len(self.links) >= self.limits.connections and not self.stopping and (
+                oldest := next((k for k in self._free if not k.side.begun), next(iter(self._free), None))):
+            self.made_room += 1
+            oldest.closing = True
+            self.left(oldest)
+            oldest.transport.abort()
         if len(self.links) >= self.limits.connections or self.stopping:
             self.turned_away += 1
-            writer.transport.abort()
-            return
-        link = _HttpLink(self, reader, writer)
-        task = asyncio.current_task()
-        assert task is not None
-        self.links[link] = task
-        try:
-            await self._serve(link)
-        except asyncio.CancelledError:
-            pass  # Only `stop` cancels, and it wants this to end quietly.
-        except (OSError, h11.ProtocolError) as error:
-            log.info("connection ended", reason=str(error) or type(error).__name__)
-            if isinstance(error, h11.RemoteProtocolError):
-                with contextlib.suppress(h11.LocalProtocolError):
-                    link.refuse(Refusal(error.error_status_hint, f"request: {error}"))
-        finally:
-            self.links.pop(link, None)
-            link.let_go()
-            if link.call:
-                link.call.gone("the connection has ended")
-            if link._drain:
-                link._drain.cancel()
-            writer.close()
-            with contextlib.suppress(OSError, asyncio.CancelledError, TimeoutError):
-                await asyncio.wait_for(writer.wait_closed(), 1.0)
-            writer.transport.abort()
-
-    async def _serve(self, link: _HttpLink) -> None:
-        while not link.closing:
-            call = await link.request()
-            if call is None:
-                return
-            link.call = call
-            link.done.clear()
-            watching = asyncio.get_running_loop().create_task(link.watch())
-            try:
-                try:
-                    self.handle(call)
-                except Exception:
-                    log.exception("handler failed", target=call.target)
-                    call.error(500, "the handler failed")
-                link.let_go()
-                await link.done.wait()
-            finally:
-                watching.cancel()
-                with contextlib.suppress(asyncio.CancelledError, OSError, h11.ProtocolError):
-                    await watching
-            link.call = None
-            if self.stopping or link.closing or link.http.our_state is not h11.DONE:
-                return
-            if link.http.their_state is not h11.DONE:
-                return
-            link.http.start_next_cycle()
+            link.closing = True
+            return False
+        self.links[link] = self._free[link] = None
+        return True
+
+    def busy(self, link: _HttpLink) -> None:
+        self._free.pop(link, None)
+
+    def idle(self, link: _HttpLink) -> None:
+        if link in self.links:
+            self._free[link] = None
+
+    def left(self, link: _HttpLink) -> None:
+        self.links.pop(link, None)
+        self._free.pop(link, None)
+        if not self.links and self._empty:
+            self._empty.set()
+
+    # -- the end
+
+    def close_free(self) -> None:
+        """Close the connections that have no request."""
+        for link in list(self._free):
+            if not link.side.begun:
+                link.closing = True
+                link.transport.close()
 
     def cut_short(self) -> None:
         """End what is open: its connections close."""
         for link in list(self.links):
             if link.call:
                 link.call.gone("server stopped")
-            link.done.set()
+            link.closing = True
+            link.transport.abort()
 
     async def stop(self, grace: float = 0.0) -> None:
         """Take no new requests, let open ones run for `grace` seconds, then end all."""
-        self.stopping = True
+        self.stopping = self.last = True
         if self._server:
             self._server.close()
-        for link, task in list(self.links.items()):
-            if link.call is None:
-                task.cancel()
-        tasks = list(self.links.values())
-        if tasks and grace > 0:
-            await asyncio.wait(tasks, timeout=grace)
+        self.close_free()
+        assert self._empty
+        if self.links and grace > 0:
+            self._empty.clear()
+            try:
+                await asyncio.wait_for(self._empty.wait(), grace)
+            except TimeoutError:
+                pass
         self.cut_short()
-        for task in tasks:
-            task.cancel()
-        if tasks:
-            await asyncio.wait(tasks)
+        if self.links:
+            self._empty.clear()
+            await self._empty.wait()
         if self._server:
             await self._server.wait_closed()
--- a/tuliptrack/rpc/link.py
+++ b/tuliptrack/rpc/link.py
@@ -10,12 +10,12 @@
 import asyncio
 import contextlib
 import threading
-import time
 from abc import abstractmethod
 
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import Core, Event
 
-__all__ = ["Link", "now_us"]
+__all__ = ["Link"]
 
 _READ_SIZE = 131_072  # bytes asked of a socket at once
 _WRITE_HIGH = 262_144  # bytes in the socket's buffer past which calls keep theirs
@@ -31,11 +31,6 @@
 _turn = _Turn()
 
 
-def now_us() -> int:
-    """Monotonic time in whole microseconds."""
-    return time.monotonic_ns() // 1000
-
-
 class Link:
     """One connection. Its owner awaits `run`, or ends it with `close`; either leaves no task behind."""
 
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -15,6 +15,7 @@
 from google.protobuf.message import DecodeError, Message
 
 from tuliptrack.decisions.gate import Meter
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import (
     Broken,
     CallStarted,
@@ -27,7 +28,7 @@
     MessageReceived,
     Writable,
 )
-from tuliptrack.rpc.link import Link, now_us
+from tuliptrack.rpc.link import Link
 from tuliptrack.rpc.status import Code, Metadata, Status, refusal, refusal_details, with_details
 
 __all__ = ["Handler", "Server", "ServerCall", "unary_request"]
--- a/tuliptrack/rpc/status.py
+++ b/tuliptrack/rpc/status.py
@@ -14,8 +14,10 @@
 from google.protobuf.message import Message
 from google.rpc import code_pb2, error_details_pb2, status_pb2
 
+from tuliptrack.decisions.gate import refusal_text
+
 __all__ = ["Code", "Metadata", "Status", "decode_binary", "decode_timeout", "encode_binary", "encode_timeout",
-           "from_http", "from_reset", "refusal", "refusal_details", "refusal_text", "with_details"]
+           "from_http", "from_reset", "refusal", "refusal_details", "with_details"]
 
 Metadata = tuple[tuple[str, str | bytes], ...]
 """Pairs of a lower-case key and its value: bytes where the key ends in `-bin`, text elsewhere."""
@@ -85,11 +87,6 @@
     return [retry, error_details_pb2.ErrorInfo(reason=kind, domain="tuliptrack", metadata=facts)]
 
 
-def refusal_text(reason: str) -> str:
-    """What clients read of a refusal."""
-    return f"refused: {reason}; trying again is harmless"
-
-
 def refusal(reason: str, retry_after_us: int) -> Status:
     """A refusal, with its reason and when to come back (microseconds; 0: no advice)."""
     return with_details(Code.UNAVAILABLE, refusal_text(reason), *refusal_details("REFUSED", retry_after_us, reason=reason))
--- a/tuliptrack/sources/listing.py
+++ b/tuliptrack/sources/listing.py
@@ -20,6 +20,7 @@
 from tuliptrack.config.textformat import ConfigError, read_file
 from tuliptrack.interface import FleetChange, ListKind, Server, ServerState
 from tuliptrack.proto import fleet_pb2 as pb
+from tuliptrack.sources.starts import Starts
 
 __all__ = ["ListError", "Listing", "Roster", "Source", "load_cache", "save_cache"]
 
@@ -63,7 +64,7 @@
         self.kinds = {name: number for number, name in enumerate(kinds)}
         self.held: dict[int, pb.ServerEntry] = {}
         self.version = 0
-        self._starts: dict[int, tuple[int, int]] = {}
+        self._starts = Starts()
 
     def take(self, message: pb.ServerList, now: int, kind: ListKind | None = None, wall: int | None = None) -> Listing:
         """Apply a list; `now` monotonic, `wall` since 1970, both microseconds. ListError leaves all as it was."""
@@ -82,7 +83,7 @@
         for entry in message.servers:
             servers.append(Server(
                 entry.id, self.kinds[entry.kind], _STATES[entry.state], entry.weight or 1.0, entry.cell, entry.zone,
-                self._started(entry, now, wall)))
+                self._starts.monotonic(entry.id, entry.started_unix_us, now, wall)))
         if what is not ListKind.DELTA:
             self.held.clear()
         for entry in message.servers:
@@ -90,7 +91,7 @@
                 self.held.pop(entry.id, None)
             else:
                 self.held[entry.id] = entry
-        self._starts = {i: start for i, start in self._starts.items() if i in self.held or i in seen}
+        self._starts.keep(self.held.keys() | seen)
         self.version = message.version
         change = FleetChange(what, message.version & 0xFFFFFFFF, tuple(servers))
         return Listing(change, {entry.id: entry.address for entry in message.servers})
@@ -113,18 +114,6 @@
         if entry.started_unix_us < 0:
             raise ListError(f"{place}.started_unix_us: must not be negative, is {entry.started_unix_us}")
 
-    def _started(self, entry: pb.ServerEntry, now: int, wall: int) -> int:
-        """The start in monotonic time; the same for each telling of one start, whatever the wall clock does."""
-        if not entry.started_unix_us:
-            return 0
-        known = self._starts.get(entry.id)
-        if known and known[0] == entry.started_unix_us:
-            return known[1]
-        # A start in the future is a clock that's ahead: it counts as now, so that it is cold, not warm.
-        started = max(now - max(wall - entry.started_unix_us, 0), 0)
-        self._starts[entry.id] = (entry.started_unix_us, started)
-        return started
-
     def whole(self) -> pb.ServerList:
         """The list held, to be kept on disk."""
         return pb.ServerList(version=self.version, servers=self.held.values())
--- a/tuliptrack/wirehost.py
+++ b/tuliptrack/wirehost.py
@@ -17,7 +17,7 @@
 from tuliptrack import interface as io
 from tuliptrack.brain import Router
 
-__all__ = ["WireError", "decode_batch", "encode_reply", "main", "serve", "settings_from_json"]
+__all__ = ["WireError", "decode_batch", "encode_reply", "main", "serve", "settings_from_json", "settings_of"]
 
 T = TypeVar("T")
 
@@ -97,6 +97,11 @@
         env = json.loads(text)
     except ValueError as error:
         raise WireError(f"settings: not JSON ({error})") from None
+    return settings_of(env)
+
+
+def settings_of(env: object) -> io.Settings:
+    """Translate the settings object, wherever it stood; unknown keys are ignored. WireError names what is wrong."""
     if not isinstance(env, dict):
         raise WireError("settings: not a JSON object")
     try:
