Lone breaks blame no engine, streams go back before SIGKILL, silent ones end after 4 s

Ruled out: dying engines (no failed connects, other connections to the same engine went on). At fault: `_bad` blamed the server for any break, and `_outcome` sent the retry away from where the prompt is kept. An attempt now tells whether just its connection broke (kept and answered with nothing, spoilt, or others to the engine stand by the kernel's word): no blame until four in a row, and the same server again, twice at most. 0.45 -> 0.75.

Silent streams: `token_silence` was 15 s, a client may be left waiting for 5: the rule on lost requests was broken.

Resumed streams are let in as top worth is and cost no quota.

--- /dev/null
+++ b/tests/relay/test_relay.py
@@ -0,0 +1,317 @@
+"""The node on the platform's HTTP, whole paths on real sockets, judged by what engines and clients saw."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+from relay_world import (
+    OPENING,
+    STREAM,
+    TOKENS,
+    Peer,
+    Platform,
+    Script,
+    Seen,
+    chunk,
+    config,
+    hangs,
+    platform,
+    read_reply,
+    reads,
+    request,
+    writes,
+)
+from world import run, until
+
+
+def test_a_request_passes_unchanged_to_a_reader_and_a_writer_and_its_events_come_back() -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            body = json.dumps({"stream": True, "messages": ["ü" * 3_000]}).encode()
+            reply = await p.say(request("call-1", body))
+            assert (reply.status, reply.whole, reply.body) == (200, True, STREAM)
+            first, second = p.saw()
+            for one in (first, second):
+                assert (one.method, one.target, one.body) == ("POST", "/v1/chat/completions?a=1", body)
+                assert one.call_id == "call-1" and 0 < float(one.head["x-budget"]) < 4.8
+            assert first in p.engines["r0"].seen and second in p.engines["w0"].seen
+            seats = {s.role.value: s for s in p.relay.router.seats.values()}
+            assert seats["read"].depth == 2.0 and seats["write"].memory == 0.25  # the reports, at its head and at its end
+            assert not p.saw("DELETE")
+
+    run(go)
+
+
+def spoilt(*parts: bytes) -> Script:
+    async def script(one: Seen, writer: asyncio.StreamWriter) -> None:
+        if one.method == "DELETE":
+            await reads(one, writer)
+            return
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.01)
+        await asyncio.Event().wait()
+
+    return script
+
+
+@pytest.mark.parametrize("parts", [
+    (b"\x00\xff\x13noise\r\n\r\n",), (b"HTTP/1.1 200 OK\r\nx: " + b"y" * 70_000,), (OPENING + b"zz\r\n",),
+    (OPENING + b"5\r\nhello world, this does not fit\r\n",), (OPENING + chunk(b"never an end " * 6_000),),
+    (b"HTTP/1.1 100 Continue\r\n\r\n" * 40,), (OPENING + b"0\r\n\r\n",),
+], ids=["noise", "head without end", "chunk size", "chunk that does not fit", "event without end", "1xx for ever", "empty"])
+def test_a_stream_spoilt_before_its_first_event_is_tried_elsewhere(parts: tuple[bytes, ...]) -> None:
+    async def go() -> None:
+        tried: list[Seen] = []
+        bad = spoilt(*parts)
+
+        async def first_bad(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.method == "POST":
+                tried.append(one)
+            await (bad if len(tried) == 1 and one.method == "POST" else writes)(one, writer)
+
+        async with platform(r0=reads, w0=first_bad, w1=first_bad) as p:
+            reply = await p.ask()
+            assert (reply.status, reply.whole, reply.body) == (200, True, STREAM)
+            assert len(tried) == 2
+
+    run(go)
+
+
+@pytest.mark.parametrize("part", [b"zz\r\n", b"b2d05e00\r\n" + b"data: x" * 50_000, b"4\r\nnot what it says\r\n",
+                                  chunk(b"no event\n\n"), chunk(b"data: cut") + b"0\r\n\r\n"])
+def test_a_stream_spoilt_later_ends_the_clients_connection_without_its_last_chunk(part: bytes) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=spoilt(OPENING + chunk(TOKENS[0]), part), w1=hangs) as p:
+            p.tell(w1="Terminating")
+            await until(lambda: p.relay.members.revision == p.revision)
+            reply = await asyncio.wait_for(p.ask(), 5.0)
+            assert (reply.status, reply.whole, reply.body) == (200, False, TOKENS[0])
+            assert len(p.engines["w0"].asked()) == 1
+
+    run(go)
+
+
+def test_what_an_engine_sends_unasked_reaches_no_other_request() -> None:
+    async def go() -> None:
+        async def talks_on(one: Seen, writer: asyncio.StreamWriter) -> None:
+            await writes(one, writer)
+            await asyncio.sleep(0.005)
+            writer.write(OPENING + chunk(b"data: not yours\n\n") + b"0\r\n\r\n")
+
+        async with platform(r0=reads, w0=talks_on) as p:
+            for _ in range(6):
+                reply = await p.ask()
+                assert (reply.status, reply.whole, reply.body) == (200, True, STREAM)
+
+    run(go)
+
+
+def test_what_was_read_is_let_go_where_its_client_leaves_and_where_its_reader_is_silent() -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=hangs, w1=writes) as p:
+            p.tell(w1="Terminating")
+            await until(lambda: p.relay.members.revision == p.revision)
+            _, writer = await p.connect()
+            writer.write(request("leaves"))
+            await until(lambda: bool(p.engines["w0"].asked()))
+            writer.close()
+            await until(lambda: any(one.target == "/bootstrap/rooms/leaves" for one in p.saw("DELETE")))
+            assert "leaves" in p.engines["w0"].broke  # its attempt was given up with its connection
+            # Its reader takes no more connections: any other engine is told instead.
+            await p.engines["r0"].stop()
+            p.relay.channels.release(next(iter(p.relay.table.open), 0) or 0, _record("lost"))
+            await until(lambda: any(one.target == "/bootstrap/rooms/lost" for one in p.saw("DELETE")))
+
+    run(go)
+
+
+def _record(call_id: str) -> Any:
+    class Ask:
+        class payload:
+            pass
+
+    class Record:
+        ask = Ask
+
+    Ask.payload.call_id = call_id  # type: ignore[attr-defined]
+    return Record
+
+
+RUDE = {
+    "noise": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+    "two lengths": request("x1", Content_Length="15", Transfer_Encoding="chunked"),
+    "negative length": request("x2", Content_Length="-5"),
+    "huge length": request("x3", Content_Length="62914560"),
+    "length beyond numbers": request("x4", Content_Length="9" * 30),
+    "no such class": request("x5", X_Call_Class="nobody"),
+    "no such tenant": request("x6", X_Caller="nobody"),
+    "no deadline": request("x7", budget="soon"),
+    "deadline not a number": request("x8", budget="nan"),
+    "no id": request(""),
+    "an id that is a path": request("../../x"),
+    "lengths that are none": request("x9", X_Call_Info="prompt_len=-3"),
+    "not JSON": request("x10", b"{never"),
+    "a head without end": b"POST / HTTP/1.1\r\nX-A: " + b"b" * 100_000,
+    "60 MB in chunks": request("x11", b"", Transfer_Encoding="chunked", Content_Length="") + chunk(b"{" * 60_000) * 40,
+}
+
+
+@pytest.mark.parametrize("name", RUDE)
+def test_what_cant_be_read_or_used_is_answered_with_an_error_and_reaches_no_engine(name: str) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            reply = await p.say(RUDE[name], 3.0)
+            assert reply.status == 0 or 400 <= reply.status < 500, reply
+            if reply.status:
+                assert json.loads(reply.body)["error"]
+            assert not p.saw()
+            assert (await p.ask()).whole
+
+    run(go)
+
+
+def test_an_open_id_is_not_taken_twice_and_an_unusable_request_blames_no_engine() -> None:
+    async def go() -> None:
+        async def unusable(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.call_id == "odd":
+                writer.write(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n")
+            else:
+                await asyncio.sleep(0.2)
+                await reads(one, writer)
+
+        async with platform(r0=unusable, w0=writes) as p:
+            first = asyncio.ensure_future(p.say(request("twice")))
+            await until(lambda: bool(p.saw()))
+            assert (await p.say(request("twice"))).status == 400
+            assert (await p.say(request("odd"))).status == 400
+            assert (await first).whole
+            assert [one.call_id for one in p.engines["r0"].asked()] == ["twice", "odd"]
+            assert not any(seat.blamed for seat in p.relay.router.seats.values())
+
+    run(go)
+
+
+def test_silent_and_slow_connections_end_in_time_and_make_room() -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            limits = p.relay.front.server.limits
+            assert limits.connections < p.relay.config.sockets / 2
+            silent = [await p.connect() for _ in range(limits.connections + 40)]
+            assert len(p.relay.front.server.links) <= limits.connections
+            assert (await p.ask()).whole  # there is room for who says something
+            began = asyncio.get_running_loop().time()
+            _, half = silent[-1]
+            half.write(b"POST / HTTP/1.1\r\nX-A: b")
+            for reader, writer in silent:
+                try:
+                    await asyncio.wait_for(reader.read(-1), 10)
+                except OSError:
+                    pass
+                writer.close()
+            assert asyncio.get_running_loop().time() - began < 5.0
+
+    run(go)
+
+
+def test_drains_and_new_agents_are_followed() -> None:
+    async def go() -> None:
+        async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
+            p.tell(r0="Terminating", w0="Terminating")
+            await until(lambda: p.relay.members.revision == p.revision)
+            for _ in range(10):
+                assert (await p.ask()).whole
+            assert not p.engines["r0"].seen and not p.engines["w0"].seen
+            other = await Peer(p.answers).start()
+            await p.agent.stop()
+            await p.relay.source.move(other.address)
+            p.tell(r0="Ready", w0="Ready", r1="Gone", w1="Gone")
+            await until(lambda: p.relay.members.revision == p.revision)
+            before = len(p.engines["r1"].seen)
+            for _ in range(10):
+                assert (await p.ask()).whole
+            assert len(p.engines["r1"].seen) == before
+            await other.stop()
+
+    run(go)
+
+
+async def _node(p: Platform, path: Path) -> tuple[asyncio.subprocess.Process, str]:
+    """`run` as the platform starts it, before the same engines."""
+    path.write_text(_told(p, p.agent.address))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "tuliptrack.relay", stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "RELAY_CONFIG": str(path)})
+    assert process.stderr
+    while line := (await process.stderr.readline()).decode():
+        if "serving" in line:
+            return process, line.split("address=")[1].split()[0]
+    raise AssertionError("it never served")
+
+
+def _told(p: Platform, agent: str) -> str:
+    from relay_world import SETTINGS
+
+    return json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": agent, "seed": "1", "settings": SETTINGS,
+                       "limits": {"memory_mb": 128, "sockets": 256},
+                       "known": {"revision": 0, "complete": True, "members": []}})
+
+
+def test_signals_bring_new_settings_and_an_end_that_loses_nothing(tmp_path: Path) -> None:
+    async def go() -> None:
+        async def slowly(one: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.2)
+            if one.call_id == "endless":
+                writer.write(OPENING + chunk(TOKENS[0]))
+                await asyncio.Event().wait()
+            await writes(one, writer)
+
+        async with platform(r0=reads, w0=slowly) as p:
+            path = tmp_path / "config.json"
+            process, address = await _node(p, path)
+            host, _, port = address.rpartition(":")
+            other = await Peer(p.answers).start()
+            path.write_text("{ not whole")  # a bad file changes nothing
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            path.write_text(_told(p, other.address))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: bool(other.seen))
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(request("open"))
+            await until(lambda: bool(p.engines["w0"].asked()))
+            process.send_signal(signal.SIGTERM)
+            late_reader, late_writer = await asyncio.open_connection(host, int(port))
+            late_writer.write(request("late"))
+            for one in (reader, late_reader):
+                reply = await asyncio.wait_for(read_reply(one), 10)
+                assert (reply.status, reply.whole) == (200, True)
+                assert reply.head["connection"] == "close"
+            # A stream that SIGKILL would break is handed back before it can come.
+            endless_reader, endless_writer = await asyncio.open_connection(host, int(port))
+            endless_writer.write(request("endless"))
+            reply = await asyncio.wait_for(read_reply(endless_reader), 3.5)
+            assert (reply.status, reply.whole) == (200, False)
+            assert await asyncio.wait_for(process.wait(), 10) == 0
+            for end in (writer, late_writer, endless_writer):
+                end.close()
+            await other.stop()
+
+    run(go)
+
+
+@pytest.mark.parametrize(("change", "field"), [
+    ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"settings": {"classes": 3}}, "settings"),
+    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": 7}, "known")])
+def test_settings_that_cant_be_used_are_named(change: dict[str, Any], field: str) -> None:
+    from tuliptrack.relay.config import RelayConfigError
+
+    with pytest.raises(RelayConfigError, match=field):
+        config([], "127.0.0.1:1", **change)
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -52,6 +52,8 @@
 QUOTA_LEAST = 4.0  # requests it may save up at least: one node of hundreds gets them by chance, not evenly
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
 CALM_US = 2_000_000  # microseconds without a refusal after which refusing has ended, for log and time-outs
+LONE_AGAIN = 2  # times that a request goes again to where just its connection broke: its prompt is kept there
+LONE_MOST = 4  # such breaks in a row, with no answer between, that speak against the server all the same
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
 
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
@@ -133,6 +135,7 @@
         over = self._over_share(request) or request.over_budget
         worth = cls.worth * (self.settings.over_share_worth if over else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
+        tier = TOP_TIER if request.resumed else tier  # What was done for it so far would be lost.
         self.gap += SMOOTHING * (self.now - (self.arrived_at or self.now) - self.gap)
         self.arrived_at = self.now
         if self.zones:
@@ -165,7 +168,8 @@
         saved, since = self.quota.get(request.tenant, (most, self.now))
         saved = min(saved + rate * (self.now - since) / 1e6, most)
         over = saved < 1
-        self.quota[request.tenant] = (saved if over or request.repeat else saved - 1, self.now)
+        free = over or request.repeat or request.resumed
+        self.quota[request.tenant] = (saved if free else saved - 1, self.now)
         return over
 
     def _outlook(self, flight: Flight, reader: Seat | None) -> float:
@@ -453,6 +457,7 @@
         seat.answered(flight, latency, self.now, SMOOTHING, read)
         kind.answered(flight, latency, seat.waiting, SMOOTHING, read)
         kind.ended(0.0, 0.0, self.now, SMOOTHING)
+        seat.breaks = 0
         self._clear(seat, flight)
 
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
@@ -461,7 +466,9 @@
         everything, cls, tenant = self._keys(flight)
         early = event.latency < EARLY * flight.aim
         if event.status in _BROKEN:
-            self._blame(seat, everything, flight.sent)
+            seat.breaks += 1
+            if not event.lone or seat.breaks >= LONE_MOST:
+                self._blame(seat, everything, flight.sent)
         elif event.status is Status.ERROR or (event.status is Status.TIMEOUT and self.now < flight.due):
             flight.silences += 1
             seat.kind.ended(1.0, 0.0, self.now, SMOOTHING)
@@ -502,7 +509,9 @@
             self._finish(flight)
             return
         # What follows an attempt that has not answered: the next stage, another server, or the end.
-        flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
+        flight.breaks += event.lone
+        if not event.lone or flight.breaks > LONE_AGAIN:
+            flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
         jam = event.status is Status.FULL and seat.kind.full > FULL_MOST
         seek = self._pick_writer if flight.held else self._pick_reader
         self._send(flight, None if event.status is Status.MOOT or jam else seek(flight))
--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -312,7 +312,9 @@
 
     `state_lost` accompanies `FULL` where the read state is gone; `kept_tokens` are the prompt tokens
     that needed no reading; `load` holds the values named in `Settings.report_fields`, or nothing. `crossed` are the
-    bytes that this attempt has moved between zones, by the host's account.
+    bytes that this attempt has moved between zones, by the host's account. `lone` accompanies `RESET` and `CONNECT_FAILED`
+    where only this one connection broke, or brought what can't be read: it had been kept and was let go at the other end,
+    or others to the same server stand.
     """
 
     id: int
@@ -325,6 +327,7 @@
     state_lost: bool = False
     load: tuple[float, ...] = ()
     crossed: float = 0.0
+    lone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -351,6 +351,8 @@
                     record.reads += status is io.Status.READ
                 record.go(State.HELD if status is io.Status.READ else State.TAKEN)
             elif record.state is State.WRITING:
+                if lost and record.held and status is io.Status.RESET:
+                    self.engines.release(record.held.server, record)
                 if status is io.Status.OK:  # It ended well without a token: not an answer.
                     status = io.Status.ERROR
                 if lost:
@@ -370,7 +372,7 @@
             self.engines.release(attempt.server, record)  # The read may have ended as it broke off.
         self.tell(io.Outcome(record.id, attempt.number, attempt.server, status, latency, record.ended,
                              record.cached_tokens if status in (io.Status.OK, io.Status.READ) else 0, lost,
-                             ended.load, crossed))
+                             ended.load, crossed, ended.lone))
         self._settle(record)
 
     def _break(self, record: Record, how: Failure, reason: str, status: io.Status) -> None:
@@ -478,10 +480,12 @@
             elif not record.paused_at and now - record.heard_at > self.limits.token_silence:
                 self._break(record, Failure.BROKEN, "the engine has gone silent in mid-stream", io.Status.RESET)
 
-    def cut(self) -> None:
-        """The grace is over: what is open ends, as refused only where nothing of it can have run."""
+    def cut(self, since: int = 0) -> None:
+        """The grace is over: what is open and came after `since` ends, as refused only where nothing of it can have run."""
         reason = "this node has shut down"
         for record in list(self.table.open.values()):
+            if record.taken_at < since:
+                continue
             if record.state is State.STREAMING:
                 self._break(record, Failure.BROKEN, reason, io.Status.CANCELLED)
                 continue
@@ -493,6 +497,11 @@
             self.tell(io.ClientGone(record.id))  # The router owes it nothing more; it calls off what is out.
             self._settle(record)
 
+    def hand_back(self) -> None:
+        """Streams that have begun go back to their clients, to be resumed at another node."""
+        for record in list(self.table.open.values()):
+            self._hand_back(io.HandBack(record.id))
+
     def end(self) -> None:
         """Every request and timer ends; their clients are gone."""
         for record in list(self.table.open.values()):
--- a/tuliptrack/node/port.py
+++ b/tuliptrack/node/port.py
@@ -24,9 +24,11 @@
     reason: str = ""
     """For logs and for the client of a stream that broke."""
     state_lost: bool = False
-    """With `FULL`: the read state that it came for is gone."""
+    """The read state that it came for is gone; with `RESET`, most likely: it is let go to be sure."""
     load: tuple[float, ...] = ()
     """The load report that came along, in the order of `Settings.report_fields`; nothing where there was none."""
+    lone: bool = False
+    """Only this one connection broke, or brought what can't be read."""
     unusable: bool = False
     """The engine can't make anything of the request, and no other would."""
     detail: Any = None
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -1,7 +1,7 @@
 """One node on the platform: `python -m tuliptrack.relay`, told all by its environment (see `config.py`).
 
-SIGHUP reads the settings' file anew and follows the list's new address. SIGTERM or SIGINT: new requests are still served for
-a moment, since clients go on sending until they have noticed; then what is open ends, and the program.
+SIGHUP reads the settings' file anew and follows the list's new address. SIGTERM or SIGINT: requests are still served for as
+long as nothing may kill the node, since clients keep their connections; then what is open ends, and the program.
 """
 
 from __future__ import annotations
@@ -33,7 +33,10 @@
 
 log = structlog.get_logger("relay")
 _SWEEP_S = 0.25  # seconds between looks at silent streams, stalled clients and idle connections
-_RETIRE_S = 0.6  # after SIGTERM, while clients may still send anew
+_KILLED_S = (3.0, 0.7)  # SIGKILL follows SIGTERM no sooner than the longest deadline, or this, and so much more
+_FORGIVEN_S = 0.6  # after SIGTERM; what comes later must be answered before SIGKILL
+_CLOSE_S, _CUT_S = 1.3, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
+_SILENCE = 4_000_000  # microseconds: a client may be left waiting on a stream that has stopped for 5 s
 _BODY = 262_144  # bytes of one body, in or out, by the protocol
 
 
@@ -43,7 +46,8 @@
     def __init__(self, config: RelayConfig) -> None:
         self.config = config
         clients, engines = int(config.sockets * 0.45), int(config.sockets * 0.4)
-        super().__init__(config.settings, config.seed or secrets.randbits(63), config.name, CoreLimits(answer_ahead=20_000),
+        super().__init__(config.settings, config.seed or secrets.randbits(63), config.name, CoreLimits(
+            answer_ahead=20_000, token_silence=_SILENCE),
                          GateLimits(min(config.open_requests, clients), clients, 1))
         idle = config.idle or 15_000_000
         self.channels = self.engines = HttpEngines(self, ClientOptions(
@@ -100,14 +104,23 @@
         if config.discovery != self.source.address:
             await self.source.move(config.discovery)
 
-    async def stop(self, grace: float) -> None:
-        """Serve a moment longer, each connection once; take nothing new; end what is left after `grace` seconds."""
+    async def stop(self, grace: float, killed: float) -> None:
+        """End, knowing that nothing kills the node for `killed` seconds. Until shortly before, what comes is served, each
+        connection once more, so that clients turn to other nodes. Then streams that still run are handed back, while their
+        clients can find another node: the kill would break them all the same. What isn't a stream may end by itself."""
+        began = self.now()
+        log.info("stopping", open=len(self.table.open))
         server = self.front.server
         server.last = True
         server.close_free()
-        await asyncio.sleep(_RETIRE_S)
+        await asyncio.sleep(max(killed - _CLOSE_S, 0.0))
         self.front.ready, self.stopping = False, True
-        await server.stop(grace)
+        if self.settings.may_resume:
+            self.hand_back()
+        ending = asyncio.get_running_loop().create_task(server.stop(grace))
+        await asyncio.wait([ending], timeout=_CLOSE_S - _CUT_S if killed else 0.0)
+        self.cut(began + int(_FORGIVEN_S * 1e6))
+        await ending
         await self.source.close()
         self.end()
         if self._sweeper:
@@ -145,7 +158,7 @@
     with contextlib.suppress(asyncio.CancelledError):
         await reloading
     longest = max(c.deadline for c in config.settings.classes) / 1e6
-    await relay.stop(longest * 4)
+    await relay.stop(longest * 4, min(longest, _KILLED_S[0]) + _KILLED_S[1])
 
 
 def main() -> int:
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -103,6 +103,7 @@
 
     def _spoilt(self, reason: str) -> None:
         log.warning("engine fault", request=self.record.id, server=self.attempt.server, reason=reason)
+        self.exchange.spoilt = True
         self.cancel(io.Status.RESET)
 
     def _events(self) -> None:
@@ -122,9 +123,7 @@
                     self._load = load_of(value, self.engines.report_names) or self._load
             elif event.startswith(b"data:"):
                 events.append(event)
-                if event.startswith(b'data: {"choices":[]'):
-                    self._usage(event[5:])
-                self._whole = self._whole or event[5:].strip() == b"[DONE]"
+                self._note(event[5:].strip())
             else:
                 self._spoilt("something that is no event")
                 return
@@ -133,22 +132,30 @@
         data = whole if len(events) == whole.count(b"\n\n") else b"\n\n".join(events) + b"\n\n"
         self.engines.core.passed(self.record, self.attempt, cast(RawAnswer, self.record.answer).events(data))
 
-    def _usage(self, text: bytes) -> None:
-        """How much of the prompt needed no reading, from the event that tells."""
+    def _note(self, text: bytes) -> None:
+        """What the node itself makes of an event: tokens for the pace, what was kept, the word that all has come."""
+        if text == b"[DONE]":
+            self._whole = True
+            return
         try:
-            kept = json.loads(text)["usage"]["prompt_tokens_details"]["cached_tokens"]
-            self.record.cached_tokens = max(0, min(int(kept), self.record.ask.prompt_tokens))
-        except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
-            pass  # It is for the client; the router does without.
+            told = json.loads(text)
+            for choice in told["choices"]:
+                size = len(choice["delta"].get("content") or "")
+                self.record.next_index += round(size / self.engines.core.limits.bytes_per_token)
+            if usage := told.get("usage"):
+                kept = int(usage["prompt_tokens_details"]["cached_tokens"])
+                self.record.cached_tokens = max(0, min(kept, self.record.ask.prompt_tokens))
+        except (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError):
+            pass  # It is for the client; the node does without.
 
     def _end(self, how: How, reason: str) -> None:
         self.engines.core.attempt_over(self.record, self.attempt, self._ended(how, reason))
 
     def _ended(self, how: How, reason: str) -> Ended:
         if how is How.GIVEN_UP:
-            return Ended(self._status, "given up", load=self._load)
+            return self._broke(self._status, "given up")
         if how is not How.ANSWER:
-            return Ended(_STATUS[how], reason, load=self._load)
+            return self._broke(_STATUS[how], reason)
         status = self.exchange.status
         if self._over and status in (503, 504):
             return Ended(io.Status.FULL, "turned away", load=self._load)
@@ -159,11 +166,18 @@
             return Ended(io.Status.OK, load=self._load)
         if self._streams:
             if self._body or not self._whole:
-                return Ended(io.Status.RESET, "a stream that isn't whole", load=self._load)
+                self.exchange.spoilt = True
+                return self._broke(io.Status.RESET, "a stream that isn't whole")
             self.record.finish = Finish.STOP
             return Ended(io.Status.OK, load=self._load)
         return Ended(io.Status.ERROR, f"answered {status}", load=self._load, unusable=400 <= status < 500)
 
+    def _broke(self, status: io.Status, reason: str) -> Ended:
+        """A stream that was spoilt has run: the state that it came for has gone with it."""
+        exchange = self.exchange
+        return Ended(status, reason, exchange.spoilt and not self.attempt.reading, self._load,
+                     lone=exchange.spoilt or exchange.lone)
+
     def _kept(self) -> int:
         try:
             return int(json.loads(bytes(self._body))["cached_tokens"])
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -20,6 +21,8 @@
 
 __all__ = ["ClientOptions", "Connections", "Exchange", "How", "Pool"]
 
+_ESTABLISHED = 1  # of the kernel's states of a TCP connection
+
 
 class How(Enum):
     """What ended an exchange."""
@@ -56,7 +59,8 @@
 class Exchange:
     """One request. Callbacks run at once and must not wait."""
 
-    __slots__ = ("_link", "_paused", "body", "fields", "method", "on_data", "on_end", "on_head", "open", "status", "target")
+    __slots__ = ("_link", "_paused", "body", "fields", "lone", "method", "on_data", "on_end", "on_head", "open", "spoilt",
+                 "status", "target")
 
     def __init__(self, method: str, target: str, fields: Fields, body: bytes = b"") -> None:
         self.method, self.target, self.fields, self.body = method, target, fields, body
@@ -64,6 +68,9 @@
         self.on_data: Callable[[bytes], None] = _nothing
         self.on_end: Callable[[How, str], None] = _nothing
         self.open, self.status = True, 0
+        self.spoilt = self.lone = False
+        """Of one that broke: what came can't be read; only its own connection has ended, which had been kept and brought
+        nothing for it, or beside which others to the same address stand."""
         self._link: _Link | None = None
         self._paused = False
 
@@ -102,6 +109,7 @@
         self.exchange: Exchange | None = None
         self.written = self.dead = False
         self.idle_since = 0.0
+        self.uses = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -119,6 +127,7 @@
             self.pool.rests(self)
             return
         self.exchange, exchange._link = exchange, self
+        self.uses += 1
         self.written = False
         self.transport.write(data)
         if not self.transport.get_write_buffer_size():
@@ -143,6 +152,7 @@
                     self._done(exchange)
                     return
         except Wrong as error:
+            exchange.spoilt = True
             self._broke(error.reason)
 
     def _done(self, exchange: Exchange) -> None:
@@ -165,8 +175,21 @@
         exchange, self.exchange = self.exchange, None
         self.drop(reason)
         if exchange:
+            kept = self.uses > 1 and not exchange.status
+            exchange.lone = kept or exchange.spoilt or any(link.stands() for link in self.pool.links)
             exchange.ended(How.RESET if self.written else How.CONNECT, reason)
 
+    def stands(self) -> bool:
+        """Whether the kernel holds the connection to be up: what has just broken with it may not have been told yet."""
+        sock = self.transport.get_extra_info("socket")
+        if self.dead or sock is None or sock.fileno() < 0:
+            return False
+        try:
+            state: int = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        except OSError:
+            return False
+        return state == _ESTABLISHED
+
     def drop(self, reason: str) -> None:
         """End the connection now."""
         self.exchange = None
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -114,6 +114,8 @@
     """What has failed there lately: the whole server, its service of one class, or of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
     """This node's attempts there that have neither ended nor started to answer, oldest first."""
+    breaks: int = 0
+    """Attempts in a row that broke with just their own connection."""
     turn: int = 0
     """The last turn at it that this node has used, while it was cold."""
 
@@ -173,6 +175,8 @@
     """When and where the first attempt was sent that may have run."""
     silences: int = 0
     """Attempts of this stage that ended by their own time-out."""
+    breaks: int = 0
+    """Its attempts that broke with just their own connection."""
     hurried: bool = False
     """It goes to a zone whose traffic is still coming back, as there is no room elsewhere."""
     tried: list[int] = field(default_factory=list)
