--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -201,7 +201,7 @@
         assert all(life.answered or life.gone for life in self.lives.values()), "rule 1: never answered"
         assert not self.router.flights, "entries must end with their requests"
         for seat in self.router.seats.values():
-            assert not seat.open and seat.open_work == 0 and seat.streams == 0
+            assert not seat.open and seat.open_work == 0 and not seat.running
         return "\n".join(self.text)
 
 
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -17,8 +17,8 @@
 
 from tuliptrack.decisions.zones import Crossings, Returns
 from tuliptrack.interface import (
-    Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, KeyScope, ListKind, Log, Outcome, Refuse,
-    Release, Request, Role, Send, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
+    Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, HandBack, KeyScope, ListKind, Log, Outcome,
+    Refuse, Release, Request, Role, Send, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
 from tuliptrack.state import Asked, Blame, Fleet, Flight, Kind, Seat, mix
 
@@ -52,6 +52,12 @@
 QUOTA_LEAST = 4.0  # requests it may save up at least: one node of hundreds gets them by chance, not evenly
 REPORT_LIFE_US = 2_000_000  # microseconds in which a report fades: about two of the slowest refreshes seen
 CALM_US = 2_000_000  # microseconds without a refusal after which refusing has ended, for log and time-outs
+PACE_US = 6_000_000  # microseconds in which what is known of answers' lengths fades: a few answers
+PACE_LOOK_US = 250_000  # microseconds between looks at it
+PACE_RATIO = 3.0  # times longer than its peers' that a dragging server's answers take
+PACE_SURE = 5.0  # log of the odds at which it drags: looked at often, a lower bar is met by chance
+PACE_ENDS = 4.0  # answers of its peers that must have ended lately, lest a common slowness look like its own
+PACE_MOST = 0.34  # share of the writers that may drag at once: more are no server's own fault
 LONE_AGAIN = 2  # times that a request goes again to where just its connection broke: its prompt is kept there
 LONE_MOST = 4  # such breaks in a row, with no answer between, that speak against the server all the same
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
@@ -59,6 +65,7 @@
 _PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
 _BROKEN = (Status.CONNECT_FAILED, Status.RESET)  # what speaks against the whole server
 _ALL = -1  # the key of blame for a whole server; classes have their number, tenants those above
+_PACE = -2  # that for the pace of its answers
 
 
 class Router:
@@ -68,7 +75,7 @@
         """`beside` is this node's router of another model: quotas and zones' budgets are kept together."""
         self.settings = settings
         self.random = Random(seed)
-        self.now, self.born, self.refused_at = 0, 0, -CALM_US
+        self.now, self.born, self.refused_at, self.looked_at = 0, 0, -CALM_US, 0
         self.out: list[Action] = []
         self.fleet = Fleet(settings.roles)
         self.seats, self.asked = self.fleet.seats, Asked()
@@ -96,6 +103,9 @@
         for event in events:
             if type(event) in self.acts:
                 self.acts[type(event)](event)
+        if now - self.looked_at > PACE_LOOK_US:
+            self.looked_at = now
+            self._look_at_paces()
         return self.out
 
     # -- the server list
@@ -257,7 +267,7 @@
     def _depth(self, seat: Seat) -> float:
         """What stands there: by the last report, and of this node's own. A mixed server's running answers
         count as its reports count them, since each read there slows all of them."""
-        own = seat.streams if seat.role is Role.BOTH and not self.has_depth else 0
+        own = len(seat.running) if seat.role is Role.BOTH and not self.has_depth else 0
         return seat.depth * self._fresh(seat) + len(seat.open) + own
 
     def _queue_us(self, seat: Seat) -> float:
@@ -340,8 +350,9 @@
         if self.zones and self.returns.back and not flight.hurried and not self.returns.admits(
                 self.now, seat.info.zone, seat.role, mix(flight.request.session) / 2**64):
             return False
+        keys = self._keys(flight) if self.now - self.refused_at < CALM_US else (_PACE, *self._keys(flight))
         return not seat.blamed or all(
-            self.now >= seat.blamed[key].until for key in self._keys(flight) if key in seat.blamed)
+            self.now >= seat.blamed[key].until for key in keys if key in seat.blamed)
 
     def _trial_wait(self, fails: int) -> int:
         wait = min(max(TRIAL_US * 2 ** (fails - 1), TRIAL_GAPS * self.gap), TRIAL_MOST_US)
@@ -365,6 +376,47 @@
         if not seat.blamed:
             self._note(f"server {seat.info.id} suspect", False)
 
+    def _ran(self, seat: Seat, flight: Flight, whole: bool) -> None:
+        """An answer that had started is over; one no longer than usual clears its server of dragging."""
+        seat.ran(self.now, PACE_US, whole)
+        took = self.now - seat.running.pop(flight.request.id)
+        if whole and _PACE in seat.blamed:
+            ends, ran_us = self._paces()
+            if took * ends < PACE_RATIO * ran_us:
+                del seat.blamed[_PACE]
+                self._note(f"server {seat.info.id} drags", False)
+
+    def _paces(self) -> tuple[float, float]:
+        """How many answers have ended lately at all writers, and how long answers have run there."""
+        return sum(s.ends for s in self.seats.values()), sum(s.ran_us for s in self.seats.values())
+
+    def _look_at_paces(self) -> None:
+        """Find servers that begin answers in time but drag them out. The evidence: how few have ended there
+        for the time that they have run, against its peers in the same seconds; a common slowness is nobody's.
+        Nothing new goes there but trials; what runs there is handed back, to be resumed elsewhere. Not while
+        this node refuses: then even a slow server is missed."""
+        for seat in self.seats.values():
+            seat.ran(self.now, PACE_US)
+        if self.now - self.refused_at < CALM_US:
+            return
+        ends, ran_us = self._paces()
+        dragging = sum(_PACE in s.blamed for s in self.fleet.ready(Role.WRITE))
+        for seat in self.seats.values():
+            others, peers = ends - seat.ends, ran_us - seat.ran_us
+            if not seat.running or others < PACE_ENDS or peers <= 0:
+                continue
+            usual = seat.ran_us * others / peers
+            if usual * (1 - 1 / PACE_RATIO) - seat.ends * math.log(PACE_RATIO) < PACE_SURE:
+                continue
+            if _PACE not in seat.blamed and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE)):
+                continue
+            fails = min(seat.blamed[_PACE].fails + 1, 4) if _PACE in seat.blamed else 2
+            seat.blamed[_PACE] = Blame(fails, self.now, self.now + self._trial_wait(fails))
+            self._note(f"server {seat.info.id} drags", True)
+            seat.ends = seat.ran_us = 0.0
+            if self.settings.may_resume:
+                self.out.extend(HandBack(request_id) for request_id in seat.running)
+
     def _patience(self, flight: Flight, seat: Seat) -> int:
         """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
         time. None where most are silent or this node refuses, which is a jam: retries would feed it."""
@@ -436,7 +488,7 @@
         if seat.role is not Role.READ:
             seat.tokens += flight.cost
             self.kinds[seat.role, False].carry(flight.cost, self.now, CARRIED_US)
-        for key in self._keys(flight) if seat.blamed else ():
+        for key in (_PACE, *self._keys(flight)) if seat.blamed else ():
             if key in seat.blamed:  # This is its trial: the next waits anew.
                 seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
         cause = self.zones.reserve(self.now, request.id, request.cls, self._crossing(flight, seat),
@@ -448,7 +500,8 @@
         if flight is None or flight.at is None:
             return
         flight.started = True
-        flight.at.streams += 1
+        flight.at.ran(self.now, PACE_US)
+        flight.at.running[event.id] = self.now
         if flight.at.off(flight):
             self._good(flight.at, event.latency, flight)
 
@@ -491,7 +544,7 @@
             return
         seat = flight.at
         if not seat.off(flight):
-            seat.streams -= 1
+            self._ran(seat, flight, event.status is Status.OK)
         elif event.status not in (Status.READ, Status.OK):
             self._bad(seat, event, flight)
         if seat.role is not Role.READ:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -108,8 +108,13 @@
     busy_from: int = 0
     tokens: float = 0.0
     """Projected tokens of this node's own streams there."""
-    streams: int = 0
-    """This node's answers that have started there."""
+    running: dict[int, int] = field(default_factory=dict)
+    """This node's answers that have started there and not ended, and when each did."""
+    ends: float = 0.0
+    """Its answers that have ended whole, fading."""
+    ran_us: float = 0.0
+    """Microseconds that its answers have run, added up over them and fading alike."""
+    ran_at: int = 0
     blamed: dict[int, Blame] = field(default_factory=dict)
     """What has failed there lately: the whole server, its service of one class, or of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
@@ -134,6 +139,13 @@
             self.open_work = max(self.open_work - flight.work, 0.0)
         return waited
 
+    def ran(self, now: int, fade: float, ended: bool = False) -> None:
+        """Bring up to now how long its answers have run and how many have ended."""
+        left = math.exp((self.ran_at - now) / fade)
+        self.ran_us = self.ran_us * left + len(self.running) * fade * (1 - left)
+        self.ends = self.ends * left + ended
+        self.ran_at = now
+
     def told(self, report: dict[str, float], now: int) -> None:
         """Note a load report, of which fields may be missing."""
         self.told_at = now
@@ -218,6 +230,7 @@
             if info.started_at > seat.info.started_at:
                 # A new process under the old id: what the old one did says nothing of it.
                 seat.blamed, seat.latency, seat.memory, seat.waiting, seat.turn = {}, 0.0, 0.0, 0.0, 0
+                seat.ran_us = seat.ends = 0.0
             seat.info = info
         for role in (Role.READ, Role.WRITE):
             self._most[role] = max(self._most[role], len(self.ready(role)))
