--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -35,7 +35,7 @@
 _SWEEP_S = 0.25  # seconds between looks at silent streams, stalled clients and idle connections
 _KILLED_S = (3.0, 0.7)  # SIGKILL follows SIGTERM no sooner than the longest deadline, or this, and so much more
 _FORGIVEN_S = 0.6  # after SIGTERM; what comes later must be answered before SIGKILL
-_CLOSE_S, _CUT_S = 1.3, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
+_CLOSE_S, _CUT_S = 0.9, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
 _SILENCE = 4_000_000  # microseconds: a client may be left waiting on a stream that has stopped for 5 s
 _BODY = 262_144  # bytes of one body, in or out, by the protocol
 
@@ -105,14 +105,12 @@
             await self.source.move(config.discovery)
 
     async def stop(self, grace: float, killed: float) -> None:
-        """End, knowing that nothing kills the node for `killed` seconds. Until shortly before, what comes is served, each
-        connection once more, so that clients turn to other nodes. Then streams that still run are handed back, while their
-        clients can find another node: the kill would break them all the same. What isn't a stream may end by itself."""
+        """End, knowing that nothing kills the node for `killed` seconds. Until shortly before, all goes on: clients keep to
+        the connections that they have, and where nodes restart one after another there may be no other yet. Then streams
+        that still run are handed back, while their clients can find another node: the kill would break them all the same."""
         began = self.now()
         log.info("stopping", open=len(self.table.open))
         server = self.front.server
-        server.last = True
-        server.close_free()
         await asyncio.sleep(max(killed - _CLOSE_S, 0.0))
         self.front.ready, self.stopping = False, True
         if self.settings.may_resume:
