A client that sends hundreds of requests at once takes turns with the others

A probe that logged slow callbacks named reads of single connections, 15 to 170 ms each; garbage collections were ruled out by the same log (4.8 ms at most, three in all). A second probe logged what such reads held: 370 to 460 requests of one connection, each answered with an error before the loop went on. At fault: `_HttpLink._advance`, which dealt with all that had come.

The test fails without it.

--- a/tests/rpc/test_http1.py
+++ b/tests/rpc/test_http1.py
@@ -120,3 +120,30 @@
         waiting[1][1].close()
 
     run(go)
+
+
+def test_who_sends_hundreds_at_once_holds_up_nobody() -> None:
+    async def go() -> None:
+        order: list[str] = []
+
+        def handle(call: HttpCall) -> None:
+            order.append(call.target)
+            call.respond(200, b"")
+
+        server = HttpServer(handle, early)
+        await server.listen()
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        _, other_writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET /many HTTP/1.1\r\nhost: x\r\n\r\n" * 500)
+        other_writer.write(b"GET /one HTTP/1.1\r\nhost: x\r\n\r\n")
+        await until(lambda: len(order) == 501)
+        assert order.index("/one") < 50
+        got = b""
+        while got.count(b"HTTP/1.1 200") < 500:
+            got += await asyncio.wait_for(reader.read(65_536), 5)
+        writer.close()
+        other_writer.close()
+        await server.stop()
+
+    run(go)
--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -95,7 +95,7 @@
         try:
             self._submit(call)
         except AskError as error:
-            call.error(404 if error.unknown else 400, str(error))
+            call.error(404 if error.unknown else 400, str(error), [("connection", "close")])
 
     def _state(self, call: HttpCall) -> None:
         if call.method not in ("GET", "HEAD"):
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -30,6 +30,7 @@
 log = structlog.get_logger("rpc.http1")
 _SEND_BUFFER = 65_536  # bytes that the kernel keeps for a reader that is slow
 _WAITING, _AT_ONCE = 1_024, 16  # connections that wait to be accepted, and that are accepted in one go
+_MOST_A_TURN = 4  # requests of one connection that are answered before others get their turn
 _MOST_AHEAD = 65_536  # bytes of further requests taken off the socket while one is answered
 
 
@@ -134,6 +135,8 @@
         self._advancing = self._stopped = self._ended = False
         self._timer: asyncio.TimerHandle | None = None
         self._begun = False
+        self._turn = 0
+        """Requests that may still be answered in this turn of the loop."""
 
     # -- the transport's calls
 
@@ -186,12 +189,14 @@
     # -- in
 
     def _advance(self) -> None:
-        """Deal with what has come: requests, one after another, as long as each is answered at once."""
+        """Deal with what has come: requests, one after another, as long as each is answered at once; a few in one turn of
+        the loop, so that who sends hundreds at once holds up nobody else."""
         if self._advancing:
             return
         self._advancing = True
+        self._turn = _MOST_A_TURN
         try:
-            while self.call is None and not self.closing and self._step():
+            while self.call is None and not self.closing and self._turn and self._step():
                 pass
         except Wrong as error:
             self.refuse(Refusal(error.status, error.reason))
@@ -199,11 +204,20 @@
             self._advancing = False
         if (self.closing and self.call is None) or (self.call is None and self.side.over):
             self.transport.close()
+        elif not self._turn and self.call is None:
+            self.transport.pause_reading()
+            self.loop.call_soon(self._go_on)
         elif self.side.ahead > _MOST_AHEAD and self.call:
             self.transport.pause_reading()
         elif self.call is None and self.side.begun != self._begun:
             self._watch()
 
+    def _go_on(self) -> None:
+        """The next turn, after others had theirs."""
+        if not self.closing and self.call is None:
+            self.transport.resume_reading()
+            self._advance()
+
     def _step(self) -> bool:
         """One event; False where more bytes are needed."""
         event = self.side.next()
@@ -236,6 +250,7 @@
 
     def _whole(self, call: HttpCall) -> None:
         self.call, self.served = call, True
+        self._turn -= 1
         self.server.busy(self)
         if self._timer:
             self._timer.cancel()
