A test of bills no longer takes a slow machine's commits for resumed work

Seen once in a run of seven workers, and in six of sixteen runs side by side: a leaver's stream that spans two commits has two parts, and the test took all bills of more than one part for resumed ones, so for whole. It now looks at the works that it has resumed.

--- a/tests/test_bills_path.py
+++ b/tests/test_bills_path.py
@@ -42,6 +42,7 @@
 def test_bills_are_what_the_engines_wrote_to_within_a_request_through_faults_and_leavers(tmp_path: Path) -> None:
     seen: dict[str, int] = {}
     most = 0
+    again_asked: set[str] = set()
 
     async def go() -> None:
         nonlocal most
@@ -65,6 +66,7 @@
                     again = w.ask(tenant=("north", "south")[n % 2], prompt=f"b{n} what?", work=f"w{n}", resume=point,
                                   repeat=True)
                     assert (await again.wait()).status.code is Code.OK
+                    again_asked.add(f"w{n}")
             # And one that was served is asked for once more.
             served = next(n for n, one in enumerate(asked) if one.end.status.code is Code.OK)
             twice = w.ask(tenant=("north", "south")[served % 2], prompt=f"b{served} what?", work=f"w{served}", repeat=True)
@@ -81,8 +83,8 @@
         billed = sum(b.written for b in bills if b.tenant == tenant)
         assert abs(billed - seen[tenant]) <= most, (tenant, billed, seen)  # leavers: what was on its way
     assert all(b.amount == 2 * b.read + b.kept + 10 * b.written for b in bills)
-    resumed = [b for b in bills if b.parts > 1]
-    assert len(resumed) >= 3 and all(b.whole for b in resumed)
+    resumed = [b for b in bills if b.work in again_asked]  # others may have parts too, of several commits
+    assert len(resumed) >= 3 and all(b.whole and b.parts > 1 for b in resumed)
     shown = CliRunner().invoke(main, ["bills", "show", str(tmp_path / "l"), "--json"])
     assert sum(row["amount"] for row in json.loads(shown.output)) == sum(b.amount for b in bills)
     checked = CliRunner().invoke(main, ["bills", "verify", str(tmp_path / "l")])
