--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -35,7 +35,7 @@
 _SWEEP_S = 0.25  # seconds between looks at silent streams, stalled clients and idle connections
 _KILLED_S = (3.0, 0.7)  # SIGKILL follows SIGTERM no sooner than the longest deadline, or this, and so much more
 _FORGIVEN_S = 0.6  # after SIGTERM; what comes later must be answered before SIGKILL
-_CLOSE_S, _CUT_S = 0.9, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
+_CLOSE_S, _CUT_S = 1.1, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
 _SILENCE = 4_000_000  # microseconds: a client may be left waiting on a stream that has stopped for 5 s
 _BODY = 262_144  # bytes of one body, in or out, by the protocol
 
