Refusals for want of room tell when to come back; smaller repairs of the node

Need: a request that is given up is answered at once, and its client told when to come again where the settings allow it; the router's refusals carried no advice. Now they tell when what waits may be down to the threshold, cut to what clients follow.

Also: a body is let go when its answer has begun (memory was counted as free while the record still held it); nothing that discovery says can end its watch; HEAD gets no body.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -30,6 +30,8 @@
 )
 from world import run, until
 
+from tuliptrack.interface import Action, Event, Log, Refuse, Request
+
 
 def test_a_request_passes_unchanged_to_a_reader_and_a_writer_and_its_events_come_back() -> None:
     async def go() -> None:
@@ -199,6 +201,27 @@
     run(go)
 
 
+def test_readiness_and_advice_on_refusals() -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            assert (await p.say(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")).status == 200
+            head = await p.say(b"HEAD /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            assert head.status == 200 and head.head["content-length"] != "0"
+            assert (await p.say(b"PUT /-/ready HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")).status == 405
+            handle = p.relay.router.handle
+
+            def refuses(now: int, events: list[Event]) -> list[Action]:
+                return [Refuse(e.id, 250_000) if isinstance(e, Request) else Log("") for e in events]
+
+            p.relay.router.handle = refuses  # type: ignore[method-assign]
+            reply = await p.ask()
+            assert (reply.status, reply.head["retry-after"]) == (503, "0.250")
+            p.relay.router.handle = handle  # type: ignore[method-assign]
+            assert (await p.ask()).whole
+
+    run(go)
+
+
 def test_silent_and_slow_connections_end_in_time_and_make_room() -> None:
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
--- a/tests/test_lone.py
+++ b/tests/test_lone.py
@@ -4,7 +4,7 @@
 
 from helpers import MS, answers, fleet, only, world
 
-from tuliptrack.interface import Send, Status, Tenant
+from tuliptrack.interface import Refuse, Send, Status, Tenant
 
 
 def test_a_lone_break_blames_nobody_and_is_tried_again_where_its_prompt_is_kept() -> None:
@@ -57,3 +57,15 @@
     let_in = fill(resumed=True)
     assert let_in > 0  # up to 1.6 times the threshold: past it, it could only be late
     assert fill() == 0
+
+
+def test_a_refusal_for_want_of_room_tells_when_there_may_be_some() -> None:
+    w = world(fleet(readers=1, writers=1), tenants=(Tenant("a", 1.0, 1000.0),), max_retry_after=500 * MS)
+    first, actions = w.ask()
+    w.end(first, only(Send, actions).server, Status.READ, after=50 * MS)
+    told: list[int] = []
+    for _ in range(200):
+        told += [a.retry_after for a in w.ask(prompt_tokens=900.0, prefix=0)[1] if isinstance(a, Refuse)]
+    assert told and all(0 < wait <= 500 * MS for wait in told)
+    w = world([], max_retry_after=500 * MS)
+    assert only(Refuse, w.ask()[1]).retry_after == 0  # nothing is known of when
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -151,15 +151,17 @@
         if self.zones:
             self.zones.arrived(self.now)
         reader, most = self._pick_reader(flight), tier * QUEUE_THRESHOLD * aim
-        refuse = self._outlook(flight, reader) > most
+        look = self._outlook(flight, reader)
         # Serving comes before the budget: the best reader of another zone is looked at before a refusal.
-        if refuse and self.zones and tier >= 1 and (far := self._spill(flight, self._far(flight), 0.0)):
-            refuse, reader = self._outlook(flight, far) > most, far
-        if refuse and self.zones and self.returns.back:  # Elsewhere is no room: its zone has it sooner.
+        if look > most and self.zones and tier >= 1 and (far := self._spill(flight, self._far(flight), 0.0)):
+            reader, look = far, self._outlook(flight, far)
+        if look > most and self.zones and self.returns.back:  # Elsewhere is no room: its zone has it sooner.
             flight.hurried = True
             reader = self._pick_reader(flight)
-            refuse = self._outlook(flight, reader) > most
+            look = self._outlook(flight, reader)
+        refuse = look > most
         self.refused_at = self.now if refuse else self.refused_at
+        flight.wait = int(look - most) if refuse else 0  # Till what waits may be down to the threshold.
         self._note("refusing by worth", self.now - self.refused_at < CALM_US)
         self._send(flight, None if refuse else reader)
 
@@ -592,6 +594,7 @@
         harmless = flight.effect is None or flight.cls.effect is Effect.SAFE or (
             flight.cls.effect is Effect.KEYED and flight.cls.key_scope is KeyScope.ALL)
         if harmless and self.now < flight.due:
-            self.out.append(Refuse(request_id))
+            wait = min(flight.wait, self.settings.max_retry_after) if self.settings.may_advise_retry else 0
+            self.out.append(Refuse(request_id, wait))
         else:
             self.out.append(Fail(request_id))
--- a/tuliptrack/relay/discovery.py
+++ b/tuliptrack/relay/discovery.py
@@ -148,9 +148,10 @@
                     told = await self._get(pool, path, _CALL_S if whole else _WAIT_MS / 1e3 + _LATE_S)
                     self.tell(told)
                     again, known = _AGAIN_S[0], True
-                except (OSError, ListError, ValueError) as error:
-                    log.warning("discovery not heard", address=address, reason=str(error)[:200] or "no answer in time")
-                    known = known and not isinstance(error, ListError)
+                except Exception as error:  # Whatever discovery says, the watch goes on.
+                    log.warning("discovery not heard", address=address,
+                                reason=str(error)[:200] or f"{type(error).__name__}: no answer in time")
+                    known = known and isinstance(error, OSError)
                     await asyncio.sleep(again * (0.5 + random.random()))
                     again = min(again * 2, _AGAIN_S[1])
         finally:
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -32,7 +32,7 @@
 _STATUS = {How.CONNECT: io.Status.CONNECT_FAILED, How.NO_ROOM: io.Status.MOOT, How.RESET: io.Status.RESET}
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Inbound:
     """A client's request as it came, which engines get unchanged."""
 
@@ -40,6 +40,7 @@
     method: str
     target: str
     body: bytes
+    """Empty once the answer has begun, as no engine needs it any more."""
     fields: Fields
     """What of its head goes on to engines."""
 
@@ -129,6 +130,7 @@
                 return
         if not events or not self.engines.core.answers(self.record, self.attempt):
             return
+        cast(Inbound, self.record.ask.payload).body = b""
         data = whole if len(events) == whole.count(b"\n\n") else b"\n\n".join(events) + b"\n\n"
         self.engines.core.passed(self.record, self.attempt, cast(RawAnswer, self.record.answer).events(data))
 
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -312,7 +312,7 @@
         head = self._first(status, headers)
         if head:
             try:
-                self._out(head + (self.side.part(body) if body else b""))
+                self._out(head + (self.side.part(body) if body and self.call and self.call.method != "HEAD" else b""))
             except Wrong as error:
                 self._broke(error)
         self.finish()
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -191,6 +191,8 @@
     """Its attempts that broke with just their own connection."""
     hurried: bool = False
     """It goes to a zone whose traffic is still coming back, as there is no room elsewhere."""
+    wait: int = 0
+    """Microseconds until there may be room, where it was refused for want of it."""
     tried: list[int] = field(default_factory=list)
     """Servers that turned this request away or failed it."""
 
