A test of KServe's ids waits for what its client has read, not for the node's table

Seen in one run of the checks on a fresh clone: the answer's last token was missing in what the client had read. Cause: the test waited until the node had no request open, which is a moment before the client's own task reads the last bytes. It now waits for the client's second final word.

--- a/tests/fronts/test_kserve.py
+++ b/tests/fronts/test_kserve.py
@@ -152,7 +152,7 @@
             stream.ask("1", "another")
             await until(lambda: stream.errors)
             assert stream.errors["1"] == "id: '1' is still open on this stream"
-            await until(lambda: not w.node.table.open)
+            await until(lambda: stream.finals["1"] == 2)  # of the error, and of the answer: all has been read
             assert "".join(stream.text["1"]) == answer("q1", 40, 40)  # the first one was not touched
             stream.text.clear()
             stream.ask("1", "another")
