Entries of the list that can't be used are left out alone; not ready from SIGTERM on

Need: one entry of an unknown kind, zone or phase made the node turn the whole list down, and with it every drain that the list told. At fault: `Members.take`, which raised for the list where one entry was wrong. Such an entry is now left out, with one line when it is first seen; what is no list is still turned down. The test fails with the old text.

`/-/ready` answers 503 from SIGTERM on.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -30,7 +30,8 @@
 )
 from world import run, until
 
-from tuliptrack.interface import Action, Event, Log, Refuse, Request
+from tuliptrack.interface import Action, Event, Log, Refuse, Request, ServerState
+from tuliptrack.relay.discovery import ListError, Members
 
 
 def test_a_request_passes_unchanged_to_a_reader_and_a_writer_and_its_events_come_back() -> None:
@@ -266,6 +267,21 @@
     run(go)
 
 
+def test_an_entry_that_cant_be_used_is_left_out_and_old_lists_change_nothing() -> None:
+    members = Members(("reads",), ("z",))
+    good = {"id": "a", "host_port": "127.0.0.1:1", "locality": "z", "flavor": "reads", "phase": "Ready"}
+    odd: list[Any] = [{**good, "id": "b", field: "no such"} for field in ("locality", "flavor", "phase", "host_port", "size")]
+    change = members.take({"revision": 5, "complete": True, "members": [*odd, 7, good]})
+    assert change and len(change.servers) == 1 and list(members.names.values()) == ["a"]
+    assert members.take({"revision": 4, "complete": True, "members": []}) is None and members.names
+    broken: tuple[Any, ...] = ([], {"members": 3}, {"revision": "x", "members": []})
+    for wrong in broken:
+        with pytest.raises(ListError):
+            members.take(wrong)
+    gone = members.take({"revision": 6, "complete": False, "members": [{"id": "a", "phase": "Gone"}]})
+    assert gone and gone.servers[0].state is ServerState.GONE and not members.addresses
+
+
 async def _node(p: Platform, path: Path) -> tuple[asyncio.subprocess.Process, str]:
     """`run` as the platform starts it, before the same engines."""
     path.write_text(_told(p, p.agent.address))
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -110,9 +110,10 @@
         that still run are handed back, while their clients can find another node: the kill would break them all the same."""
         began = self.now()
         log.info("stopping", open=len(self.table.open))
+        self.front.ready = False
         server = self.front.server
         await asyncio.sleep(max(killed - _CLOSE_S, 0.0))
-        self.front.ready, self.stopping = False, True
+        self.stopping = True
         if self.settings.may_resume:
             self.hand_back()
         ending = asyncio.get_running_loop().create_task(server.stop(grace))
--- a/tuliptrack/relay/discovery.py
+++ b/tuliptrack/relay/discovery.py
@@ -35,7 +35,8 @@
 
 
 class Members:
-    """The list held, in the router's terms. A list with anything wrong in it is turned down whole, the old one holds."""
+    """The list held, in the router's terms. An entry that can't be used is left out, with one line when it is first seen; what
+    is no list at all is turned down, and the old one holds. Bound: `MOST_MEMBERS`, and as many complaints."""
 
     def __init__(self, kinds: tuple[str, ...], zones: tuple[str, ...]) -> None:
         self.kinds = {name: number for number, name in enumerate(kinds)}
@@ -45,6 +46,7 @@
         """Of servers listed and not gone."""
         self.names: dict[int, str] = {}
         self._starts = Starts()
+        self._complained: set[str] = set()
 
     def take(self, told: Any, cached: bool = False) -> FleetChange | None:
         """A list or a change; None where it is older than what is held. ListError leaves all as it was."""
@@ -62,7 +64,11 @@
         now, wall = now_us(), time.time_ns() // 1000
         servers: dict[int, tuple[Server, str, str]] = {}
         for place, entry in enumerate(members):
-            server, address, name = self._entry(entry, f"members[{place}]", now, wall)
+            try:
+                server, address, name = self._entry(entry, f"members[{place}]", now, wall)
+            except ListError as error:
+                self._leave_out(entry, str(error))
+                continue
             servers[server.id] = (server, address, name)
         self.revision = revision
         if whole:
@@ -77,6 +83,12 @@
         kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
         return FleetChange(kind, revision & 0xFFFFFFFF, tuple(server for server, _, _ in servers.values()))
 
+    def _leave_out(self, entry: Any, reason: str) -> None:
+        what = reason.partition(".")[2] + str(entry.get("id") if isinstance(entry, dict) else entry)[:60]
+        if what not in self._complained and len(self._complained) < MOST_MEMBERS:
+            self._complained.add(what)
+            log.warning("entry of the list left out", reason=reason)
+
     def _entry(self, entry: Any, place: str, now: int, wall: int) -> tuple[Server, str, str]:
         if not isinstance(entry, dict):
             raise ListError(f"{place}: must be an object")
@@ -98,8 +110,10 @@
             if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value) or value < 0:
                 raise ListError(f"{place}.{field}: must be a number from 0, is {str(value)[:40]!r}")
         server = key(name)
-        return Server(server, kind or 0, state, float(size) or 1.0, int(cell),
-                      self.zones.get(str(entry.get("locality")), 0),
+        zone = self.zones.get(str(entry.get("locality")), 0 if not self.zones else None)
+        if zone is None and state is not ServerState.GONE:
+            raise ListError(f"{place}.locality: {str(entry.get('locality'))[:40]!r} is not among the settings' zones")
+        return Server(server, kind or 0, state, float(size) or 1.0, int(cell), zone or 0,
                       self._starts.monotonic(server, int(since * 1000), now, wall)), address, name
 
 
