Read-through: one timer for a turn's requests, only a stream's last events are parsed

Two things done over and over on hot paths. Each event of each stream was parsed as JSON to count tokens, left from the pace of tokens that was tried and not kept: now the node reads only the event with the counts, and the log's tokens are the engine's own word (an estimate by length before). A connection's timer was set and cancelled again for each request that it had pipelined, copying what waited each time: `_advance` now sets it once for all that it has dealt with.

--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -135,20 +135,17 @@
         self.engines.core.passed(self.record, self.attempt, cast(RawAnswer, self.record.answer).events(data))
 
     def _note(self, text: bytes) -> None:
-        """What the node itself makes of an event: tokens for the pace, what was kept, the word that all has come."""
+        """What the node itself makes of an event: the word that all has come, and the counts that come with the end."""
         if text == b"[DONE]":
             self._whole = True
-            return
-        try:
-            told = json.loads(text)
-            for choice in told["choices"]:
-                size = len(choice["delta"].get("content") or "")
-                self.record.next_index += round(size / self.engines.core.limits.bytes_per_token)
-            if usage := told.get("usage"):
+        elif b'"usage"' in text:
+            try:
+                usage = json.loads(text)["usage"]
                 kept = int(usage["prompt_tokens_details"]["cached_tokens"])
                 self.record.cached_tokens = max(0, min(kept, self.record.ask.prompt_tokens))
-        except (ValueError, TypeError, KeyError, AttributeError, RecursionError, OverflowError):
-            pass  # It is for the client; the node does without.
+                self.record.next_index = int(usage["completion_tokens"])
+            except (ValueError, TypeError, KeyError, RecursionError, OverflowError):
+                pass  # It is for the client; the node does without.
 
     def _end(self, how: How, reason: str) -> None:
         self.engines.core.attempt_over(self.record, self.attempt, self._ended(how, reason))
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -209,7 +209,7 @@
             self.loop.call_soon(self._go_on)
         elif self.side.ahead > _MOST_AHEAD and self.call:
             self.transport.pause_reading()
-        elif self.call is None and self.side.begun != self._begun:
+        elif self.call is None and (self._timer is None or self.side.begun != self._begun):
             self._watch()
 
     def _go_on(self) -> None:
@@ -328,8 +328,8 @@
             self.closing = True
             self.transport.close()  # What waits unsent still goes out.
             return
-        self._watch()
-        if not self._advancing:
+        if not self._advancing:  # Else `_advance` sets the timer, once for all that it has dealt with.
+            self._watch()
             self.transport.resume_reading()
             self.loop.call_soon(self._advance)
 
