A fleet that lost its caches recovers: no blind time-outs, fewer homes, news by time

The deploy file's own run line is now started by a test under a watch that ends it on fork, other programs and Unix sockets.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -282,12 +283,29 @@
     assert gone and gone.servers[0].state is ServerState.GONE and not members.addresses
 
 
+ROOT = Path(__file__).resolve().parents[2]
+# What the whole fleet's platform refuses a node, each made to end it at once.
+REFUSED = """
+import os, sys
+def refuse(event, args):
+    unix = event in ("socket.bind", "socket.connect") and not isinstance(args[1], tuple)
+    if unix or event in ("os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system", "subprocess.Popen"):
+        os.write(2, f"refused: {event}\\n".encode())
+        os._exit(99)
+sys.addaudithook(refuse)
+for name in ("sendfile", "splice", "copy_file_range"):
+    setattr(os, name, lambda *a, name=name: refuse("os.system", ()))
+"""
+
+
 async def _node(p: Platform, path: Path) -> tuple[asyncio.subprocess.Process, str]:
-    """`run` as the platform starts it, before the same engines."""
+    """The deploy file's `run` as the platform starts it, before the same engines; what the platform refuses ends it."""
     path.write_text(_told(p, p.agent.address))
+    (path.parent / "sitecustomize.py").write_text(REFUSED)
+    line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(".venv/bin/python", sys.executable)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "tuliptrack.relay", stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "RELAY_CONFIG": str(path)})
+        "/bin/sh", "-c", line, stderr=asyncio.subprocess.PIPE, cwd=ROOT,
+        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(path.parent)})
     assert process.stderr
     while line := (await process.stderr.readline()).decode():
         if "serving" in line:
@@ -315,6 +333,9 @@
         async with platform(r0=reads, w0=slowly) as p:
             path = tmp_path / "config.json"
             process, address = await _node(p, path)
+            children = Path(f"/proc/{process.pid}/task/{process.pid}/children")
+            assert "tuliptrack.relay" in Path(f"/proc/{process.pid}/cmdline").read_text(), "the shell has become the node"
+            assert not children.exists() or not children.read_text().strip(), "one process"
             host, _, port = address.rpartition(":")
             other = await Peer(p.answers).start()
             path.write_text("{ not whole")  # a bad file changes nothing
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,74 @@
+"""A fleet that has lost its caches or its readers: what hundreds of half-blind nodes may not do to it."""
+
+from __future__ import annotations
+
+from helpers import MS, READ, WRITE, S, World, fleet, only, server, world
+
+from tuliptrack.interface import Refuse, Role, Send, Started, Status
+
+NODES = 200
+FIELDS = ("in_flight", "queued", "memory_share", "tokens_waiting_k")
+
+
+def serve(w: World, number: int, reader: int, read: int = 50 * MS, waiting_k: float = 0.0) -> None:
+    """One request from its read to its end; the reader reports so many thousand tokens that wait there."""
+    load = (4.0, 2.0, 0.2, waiting_k)
+    writer = only(Send, w.end(number, reader, Status.READ, after=read, load=load)).server
+    w.tell(Started(number, w.tries[number], writer, 20 * MS), after=20 * MS)
+    w.end(number, writer, Status.OK, over=True, after=100 * MS)
+
+
+def test_a_read_has_no_own_time_out_where_nothing_was_heard_of_readers_just_now() -> None:
+    """A cache flush makes every read slow at once; a node with a request a second can't tell that from silence, and
+    its further attempts were a third of all reading."""
+    w = world(fleet(readers=8), replicas=NODES)
+    given = []
+    for after in (0, 100 * MS, 3 * S, 100 * MS):
+        number, said = w.ask(after=after)
+        given.append(only(Send, said).timeout > 0)
+        serve(w, number, only(Send, said).server)
+    assert given == [True, True, False, True], "a start, heard just now, nothing heard for three seconds, heard again"
+
+
+def test_what_reports_tell_of_a_queue_fades_with_time_and_not_with_the_number_of_answers() -> None:
+    """A node that refuses hears little: its belief in a jam lasted ten seconds longer than the jam."""
+    w = world(fleet(readers=8), replicas=NODES, report_fields=FIELDS)
+    for _ in range(8):
+        number, said = w.ask(cls=1, after=100 * MS)
+        if any(isinstance(a, Refuse) for a in said):
+            break
+        serve(w, number, only(Send, said).server, read=900 * MS, waiting_k=60.0)
+    only(Refuse, w.ask(after=100 * MS)[1])
+    for _ in range(2):  # Two answers, two seconds apart, tell that nothing waits any more.
+        number, said = w.ask(cls=1, resumed=True, after=2 * S)
+        serve(w, number, only(Send, said).server, waiting_k=0.0)
+    assert w.router.kinds[Role.READ, False].waiting < 1000
+    only(Send, w.ask(after=100 * MS)[1])
+
+
+def test_a_request_whose_client_leaves_before_first_tokens_come_is_refused_and_costs_no_read() -> None:
+    """Clients that give up after half a second and come again were three in four requests, none of them served."""
+    w = world(fleet(readers=8), replicas=NODES)
+    for _ in range(6):
+        number, said = w.ask(after=100 * MS)
+        serve(w, number, only(Send, said).server, read=300 * MS)
+    only(Refuse, w.ask(time_left=250 * MS, after=100 * MS)[1])
+    only(Send, w.ask(time_left=2 * S, after=100 * MS)[1])
+
+
+def test_a_turn_at_a_cold_reader_is_taken_rather_than_refusing() -> None:
+    w = world([server(1, READ), server(2, WRITE)], replicas=1, cold_for=12 * S, cold_from=0.25, fall_multiple=2.5,
+              fall_window=3 * S, report_fields=FIELDS)
+    w.router.unseen = 1 - 1 / NODES
+    for _ in range(8):
+        number, said = w.ask(cls=1, after=100 * MS)
+        if any(isinstance(a, Refuse) for a in said):
+            break
+        serve(w, number, 1, read=900 * MS, waiting_k=60.0)
+    only(Refuse, w.ask(after=100 * MS)[1])
+    for n in range(3, 40):  # Far down in the order of most prefixes.
+        w.list(server(n, READ, started_at=w.now))
+    w.now += 2 * S
+    kind = w.router.kinds[Role.READ, False]
+    kind.told_at = kind.heard_at = w.now
+    assert only(Send, w.ask(after=1 * MS)[1]).server != 1
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -24,7 +24,8 @@
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, the last home counted
-HOME_SHARE = 0.28  # share of the readers that are a prefix's homes where nodes see little of their queues
+HOME_SHARE = 0.28  # share of the readers that are a prefix's homes, at most, where nodes see little of queues
+HOMES = 3.0  # homes of a prefix that is a small part of what comes: more of them would each read it anew
 CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
 ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
@@ -141,7 +142,7 @@
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
         self.flights[request.id] = flight
-        self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING)
+        self.asked.note(request.cls, flight.unread, answer, request.prefix, ASKED_SMOOTHING)
         over = self._over_share(request) or request.over_budget
         worth = cls.worth * (self.settings.over_share_worth if over else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
@@ -159,7 +160,13 @@
             flight.hurried = True
             reader = self._pick_reader(flight)
             look = self._outlook(flight, reader)
-        refuse = look > most
+        if look > most:  # A turn at a cold reader is room, whatever the others look like.
+            open_to = self._pool(self._order(flight), flight, len(self.seats))
+            reader = next((s for s in open_to if self._cold_turn(s, flight)), reader)
+            look = self._outlook(flight, reader)
+        roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
+        soonest = sum(self.kinds[role, False].usual for role in roles) * aim  # To a first token, usually.
+        refuse = look > most or max(look, soonest) > request.time_left
         self.refused_at = self.now if refuse else self.refused_at
         flight.wait = int(look - most) if refuse else 0  # Till what waits may be down to the threshold.
         self._note("refusing by worth", self.now - self.refused_at < CALM_US)
@@ -207,10 +214,11 @@
 
     def _pick_reader(self, flight: Flight) -> Seat | None:
         request = flight.request
-        order = self._order(request.prefix or request.session)
+        order = self._order(flight)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
-        own = sum(not self._abroad(s) for s in order) if self.zones else 0
-        count = max(1, int(HOME_SHARE * self.unseen * (own or len(order)))) if request.prefix else 1
+        own = (sum(not self._abroad(s) for s in order) if self.zones else 0) or len(order)
+        most = max(HOMES, self.asked.share(request.prefix) * own) if request.prefix else 1.0
+        count = max(1, int(min(HOME_SHARE * self.unseen * own, most)))
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
@@ -231,8 +239,7 @@
 
     def _far(self, flight: Flight) -> list[Seat]:
         """Readers of other zones among which to spill, in this prefix's hash order."""
-        order = self._order(flight.request.prefix or flight.request.session)
-        return self._pool([s for s in order if self._abroad(s)], flight, SPILL_HOMES)
+        return self._pool([s for s in self._order(flight) if self._abroad(s)], flight, SPILL_HOMES)
 
     def _abroad(self, seat: Seat) -> bool:
         """Whether a server lies in another zone, where crossings are counted."""
@@ -251,9 +258,9 @@
         size, worth = self._crossing(flight, seat), flight.cls.worth / self.top_worth
         return self.zones.price(self.now, flight.request.cls, size, worth)
 
-    def _order(self, key: int) -> list[Seat]:
-        """The ready readers in this key's hash order, kept until the list changes: ranking is dear."""
-        orders = self.fleet.orders
+    def _order(self, flight: Flight) -> list[Seat]:
+        """The ready readers in this prefix's hash order, kept until the list changes: ranking is dear."""
+        key, orders = flight.request.prefix or flight.request.session, self.fleet.orders
         if key not in orders:
             if len(orders) >= ORDERS_KEPT:
                 orders.clear()
@@ -408,9 +415,9 @@
             if not seat.running or others < PACE_ENDS or peers <= 0:
                 continue
             usual = seat.ran_us * others / peers
-            if usual * (1 - 1 / PACE_RATIO) - seat.ends * math.log(PACE_RATIO) < PACE_SURE:
-                continue
-            if _PACE not in seat.blamed and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE)):
+            sure = usual * (1 - 1 / PACE_RATIO) - seat.ends * math.log(PACE_RATIO) >= PACE_SURE
+            if not sure or (_PACE not in seat.blamed
+                            and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE))):
                 continue
             fails = min(seat.blamed[_PACE].fails + 1, 4) if _PACE in seat.blamed else 2
             seat.blamed[_PACE] = Blame(fails, self.now, self.now + self._trial_wait(fails))
@@ -421,11 +428,13 @@
 
     def _patience(self, flight: Flight, seat: Seat) -> int:
         """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
-        time. None where most are silent or this node refuses, which is a jam: retries would feed it."""
+        time. None where most are silent, this node refuses or nothing has been heard of this role just now:
+        that is a jam, or may be one, and retries would feed it."""
         kind = seat.kind
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
-        if left <= 0 or unsafe or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
+        unheard = 0 < kind.heard_at < self.now - SILENCE_FLOOR * flight.aim  # A queue would look the same.
+        if left <= 0 or unsafe or unheard or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
             return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
         olds = [old for s in self.fleet.ready(seat.role) if (old := self._oldest(s))]
@@ -510,11 +519,15 @@
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         kind, read = seat.kind, seat.role is not Role.WRITE and flight.held is None
         seat.answered(flight, latency, self.now, SMOOTHING, read)
-        kind.answered(flight, latency, seat.waiting, SMOOTHING, read)
+        kind.answered(flight, latency, seat.waiting, self._news(kind), read, self.now)
         kind.ended(0.0, 0.0, self.now, SMOOTHING)
         seat.breaks = 0
         self._clear(seat, flight)
 
+    def _news(self, kind: Kind) -> float:
+        """Weight of an answer in what its role has shown: the longer nothing was told, the more."""
+        return max(SMOOTHING, min((self.now - kind.heard_at) / REPORT_LIFE_US, 1.0))
+
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
         """What a failed attempt says, and of what: a broken connection of the server, an error or silence of
         its service of one class, a slow `full` of one tenant's; a quick one tells lack of room."""
@@ -539,7 +552,7 @@
         told = self.seats.get(event.server)
         if told and event.load:
             told.told(dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
-            told.kind.waiting += SMOOTHING * (told.waiting - told.kind.waiting)
+            told.kind.waiting += self._news(told.kind) * (told.waiting - told.kind.waiting)
         if flight is None or flight.at is None:
             if event.status is Status.READ:
                 self.out.append(Release(event.id))
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -5,10 +5,12 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field, replace
+from statistics import median_low
 
 from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
 
 _MASK = (1 << 64) - 1
+PREFIXES_KEPT = 32  # of the last requests: enough to tell a prefix of a tenth of all from one of a hundredth
 
 
 def mix(value: int) -> int:
@@ -53,11 +55,19 @@
     """Smoothed share of attempts turned away at once for lack of room."""
     told_at: int = 0
     """When the last attempt ended or answered."""
+    heard_at: int = 0
+    """When the last one answered."""
     carried: float = 0.0
     """Projected tokens given to these servers lately, fading from `carried_at` on."""
     carried_at: int = 0
 
-    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool) -> None:
+    @property
+    def usual(self) -> float:
+        """The pace that half of its last answers have kept; 0 where there were none."""
+        return median_low(self.paces) if self.paces else 0.0
+
+    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool,
+                 now: int) -> None:
         """Bring the averages up to an answer. The time per token is a ratio of two averages: a prompt that is
         nearly all kept has a few tokens of its own and would swamp an average of ratios."""
         self.work += weight * (flight.work - self.work)
@@ -65,6 +75,7 @@
         self.tokens += weight * (waiting + flight.work - self.tokens)
         self.us_per_token = self.time / self.tokens
         self.paces.append(latency / flight.aim)
+        self.heard_at = now
         if read:
             self.latency += (weight if self.latency else 1.0) * (latency - self.latency)
 
@@ -275,16 +286,23 @@
         self.count = 0
         self.all = (0.0, 0.0)
         self.by_class: dict[int, tuple[float, float]] = {}
+        self.prefixes: deque[int] = deque(maxlen=PREFIXES_KEPT)
+        """Those of the last requests, the newest last."""
 
-    def note(self, cls: int, prompt: float, answer: float, weight: float) -> None:
+    def note(self, cls: int, prompt: float, answer: float, prefix: int, weight: float) -> None:
         """Take one more request, of which the first ones weigh more. What is known of all starts at nil, so
         that each class looks heavy at first: twice, then half again what it is, and so on."""
         new = (prompt, answer)
+        self.prefixes.append(prefix)
         self.count += 1
         weight = max(weight, 1 / (self.count + 1))
         self.all = _toward(self.all, new, weight)
         self.by_class[cls] = _toward(self.by_class.get(cls, new), new, weight)
 
+    def share(self, prefix: int) -> float:
+        """The share of the last requests that had this prefix, the newest one left out: it says nothing of others."""
+        return (self.prefixes.count(prefix) - 1) / PREFIXES_KEPT
+
     def heaviness(self, cls: int, role: Role) -> float:
         """How many mean requests one of this class weighs: by its prompt at readers, by its answer at
         writers, by whichever is more at mixed servers."""
