Writers keep their own time-outs where nothing was heard: a silent zone is left again

Cause: the rule that reads are not given up on old news also took writers' time-outs (_patience), but a jam of readers is what it was for; a flush queues nothing at writers. A test that fails without it: test_a_writer_that_says_nothing_is_left_whatever_was_heard.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -72,3 +72,14 @@
     kind = w.router.kinds[Role.READ, False]
     kind.told_at = kind.heard_at = w.now
     assert only(Send, w.ask(after=1 * MS)[1]).server != 1
+
+
+def test_a_writer_that_says_nothing_is_left_whatever_was_heard() -> None:
+    """Of three zones one falls silent: a node that hears little still rescues what waits at its writers."""
+    w = world(fleet(readers=8), replicas=NODES)
+    for after in (0, 3 * S):
+        number, said = w.ask(after=after)
+        sent = only(Send, w.end(number, only(Send, said).server, Status.READ, after=50 * MS))
+        assert sent.timeout > 0
+        w.tell(Started(number, w.tries[number], sent.server, 20 * MS), after=20 * MS)
+        w.end(number, sent.server, Status.OK, over=True, after=100 * MS)
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -428,12 +428,12 @@
 
     def _patience(self, flight: Flight, seat: Seat) -> int:
         """The attempt's own time-out: silence well past what answers take here, while a retry can still be in
-        time. None where most are silent, this node refuses or nothing has been heard of this role just now:
-        that is a jam, or may be one, and retries would feed it."""
+        time. None where most are silent, this node refuses or, of a read, nothing has been heard of its role
+        just now: that is a jam, or may be one, and retries would feed it."""
         kind = seat.kind
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
         unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
-        unheard = 0 < kind.heard_at < self.now - SILENCE_FLOOR * flight.aim  # A queue would look the same.
+        unheard = seat.role is not Role.WRITE and 0 < kind.heard_at < self.now - SILENCE_FLOOR * flight.aim
         if left <= 0 or unsafe or unheard or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
             return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
