A prefix has its share of the readers as homes again: three jammed on a hot caller's burst

So three homes are at fault (_pick_reader, count): a hot caller's prefixes jam them, and a node with a request a second sees a prefix's share too late. Also: servers long gone are forgotten past 128, and so are their log marks (a table without a bound, Fleet.seats); a test of 200 releases fails without it.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -4,7 +4,8 @@
 
 from helpers import MS, READ, WRITE, S, World, fleet, only, server, world
 
-from tuliptrack.interface import Refuse, Role, Send, Started, Status
+from tuliptrack.interface import Refuse, Role, Send, ServerState, Started, Status
+from tuliptrack.state import GONE_KEPT
 
 NODES = 200
 FIELDS = ("in_flight", "queued", "memory_share", "tokens_waiting_k")
@@ -83,3 +84,18 @@
         assert sent.timeout > 0
         w.tell(Started(number, w.tries[number], sent.server, 20 * MS), after=20 * MS)
         w.end(number, sent.server, Status.OK, over=True, after=100 * MS)
+
+
+def test_two_hundred_releases_leave_no_trace_of_servers_long_gone() -> None:
+    w = world([server(1, READ), server(2, WRITE)])
+    for n in range(200):
+        old, new = (1, 2) if n == 0 else (10 * n, 10 * n + 1), (10 * n + 10, 10 * n + 11)
+        w.list(server(new[0], READ), server(new[1], WRITE))
+        w.list(*(server(s, kind, state=ServerState.GONE) for s, kind in zip(old, (READ, WRITE), strict=True)))
+        number, said = w.ask(after=1 * S)
+        reader = only(Send, said).server
+        assert reader == new[0]
+        w.end(number, reader, Status.RESET)
+    router = w.router
+    assert len(router.seats) <= GONE_KEPT + 4 and len(router.noted) <= GONE_KEPT + 4
+    assert not router.flights and {2000, 2001} <= set(router.seats)
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -24,8 +24,7 @@
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, the last home counted
-HOME_SHARE = 0.28  # share of the readers that are a prefix's homes, at most, where nodes see little of queues
-HOMES = 3.0  # homes of a prefix that is a small part of what comes: more of them would each read it anew
+HOME_SHARE = 0.28  # share of the readers that are a prefix's homes where nodes see little of their queues
 CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
 ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
@@ -95,8 +94,7 @@
             beside.zones if beside else Crossings(settings) if settings.zone_budgets else None)
         self.returns = Returns()
         self.has_depth = "in_flight" in settings.report_fields
-        self.top_worth = max(c.worth for c in settings.classes)
-        self.low_worth = min(c.worth for c in settings.classes)
+        self.low_worth, self.top_worth = (pick(c.worth for c in settings.classes) for pick in (min, max))
 
     def handle(self, now: int, events: list[Event]) -> list[Action]:
         """Take the events of one moment, in order; return the actions, in order."""
@@ -117,7 +115,8 @@
             return
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
-        self.fleet.apply(change)
+        for server in self.fleet.apply(change):
+            self.noted -= {f"server {server} suspect", f"server {server} drags"}
         self.quotas = change.part * sum(t.quota_per_s for t in self.settings.tenants)
         for seat in self.seats.values():
             seat.kind = self.kinds[seat.role, self._abroad(seat)]
@@ -142,7 +141,7 @@
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
         self.flights[request.id] = flight
-        self.asked.note(request.cls, flight.unread, answer, request.prefix, ASKED_SMOOTHING)
+        self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING)
         over = self._over_share(request) or request.over_budget
         worth = cls.worth * (self.settings.over_share_worth if over else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
@@ -217,8 +216,7 @@
         order = self._order(flight)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
         own = (sum(not self._abroad(s) for s in order) if self.zones else 0) or len(order)
-        most = max(HOMES, self.asked.share(request.prefix) * own) if request.prefix else 1.0
-        count = max(1, int(min(HOME_SHARE * self.unseen * own, most)))
+        count = max(1, int(HOME_SHARE * self.unseen * own)) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -10,7 +10,7 @@
 from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
 
 _MASK = (1 << 64) - 1
-PREFIXES_KEPT = 32  # of the last requests: enough to tell a prefix of a tenth of all from one of a hundredth
+GONE_KEPT = 128  # servers that have gone and are still known, so that one that comes and goes keeps its blame and turn
 
 
 def mix(value: int) -> int:
@@ -227,8 +227,9 @@
         self._most = {Role.READ: 0, Role.WRITE: 0}
         self._means: dict[Role, float] = {}
 
-    def apply(self, change: FleetChange) -> None:
-        """Take a change, or a whole list, in which what isn't named has gone."""
+    def apply(self, change: FleetChange) -> list[int]:
+        """Take a change, or a whole list, in which what isn't named has gone. Returns the servers forgotten: those gone
+        the longest, with nothing of this node's there, past `GONE_KEPT`."""
         self.orders.clear()
         self._ready.clear()
         self._parts.clear()
@@ -244,9 +245,16 @@
                 # A new process under the old id: what the old one did says nothing of it.
                 seat.blamed, seat.latency, seat.memory, seat.waiting, seat.turn = {}, 0.0, 0.0, 0.0, 0
                 seat.ran_us = seat.ends = 0.0
+            if info.state is ServerState.GONE:
+                self.seats[info.id] = self.seats.pop(info.id)  # The last to go stands last.
             seat.info = info
         for role in (Role.READ, Role.WRITE):
             self._most[role] = max(self._most[role], len(self.ready(role)))
+        gone = [s.info.id for s in self.seats.values() if s.info.state is ServerState.GONE and not (s.open or s.running)]
+        forgotten = gone[:-GONE_KEPT]
+        for server in forgotten:
+            del self.seats[server]
+        return forgotten
 
     def _role(self, kind: int) -> Role:
         return self.roles[kind] if kind < len(self.roles) else Role.WRITE
@@ -286,23 +294,16 @@
         self.count = 0
         self.all = (0.0, 0.0)
         self.by_class: dict[int, tuple[float, float]] = {}
-        self.prefixes: deque[int] = deque(maxlen=PREFIXES_KEPT)
-        """Those of the last requests, the newest last."""
 
-    def note(self, cls: int, prompt: float, answer: float, prefix: int, weight: float) -> None:
+    def note(self, cls: int, prompt: float, answer: float, weight: float) -> None:
         """Take one more request, of which the first ones weigh more. What is known of all starts at nil, so
         that each class looks heavy at first: twice, then half again what it is, and so on."""
         new = (prompt, answer)
-        self.prefixes.append(prefix)
         self.count += 1
         weight = max(weight, 1 / (self.count + 1))
         self.all = _toward(self.all, new, weight)
         self.by_class[cls] = _toward(self.by_class.get(cls, new), new, weight)
 
-    def share(self, prefix: int) -> float:
-        """The share of the last requests that had this prefix, the newest one left out: it says nothing of others."""
-        return (self.prefixes.count(prefix) - 1) / PREFIXES_KEPT
-
     def heaviness(self, cls: int, role: Role) -> float:
         """How many mean requests one of this class weighs: by its prompt at readers, by its answer at
         writers, by whichever is more at mixed servers."""
