--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -99,3 +99,28 @@
     router = w.router
     assert len(router.seats) <= GONE_KEPT + 4 and len(router.noted) <= GONE_KEPT + 4
     assert not router.flights and {2000, 2001} <= set(router.seats)
+
+
+def test_one_slow_read_after_a_silence_does_not_make_all_readers_slow() -> None:
+    """While a queue empties, its last reads took long and nothing waits behind them: a time per token that rests on one
+    of them is ten times too long, and the node refused for seconds beside idle readers."""
+    w = world(fleet(readers=8), replicas=NODES, report_fields=FIELDS)
+    for _ in range(20):
+        number, said = w.ask(after=500 * MS)
+        serve(w, number, only(Send, said).server, read=50 * MS, waiting_k=2.0)
+    number, said = w.ask(after=2 * S)
+    serve(w, number, only(Send, said).server, read=1500 * MS, waiting_k=2.0)
+    only(Send, w.ask(after=100 * MS)[1])
+
+
+def test_a_home_that_has_just_told_of_a_queue_is_not_sent_more() -> None:
+    w = world(fleet(readers=8), replicas=NODES, report_fields=FIELDS)
+    for _ in range(4):
+        number, said = w.ask(after=500 * MS, prefix=5, session=9)
+        home = only(Send, said).server
+        serve(w, number, home, read=100 * MS, waiting_k=0.1)
+    number, said = w.ask(after=500 * MS, prefix=5, session=9)
+    assert only(Send, said).server == home
+    serve(w, number, home, read=100 * MS, waiting_k=80.0)
+    assert only(Send, w.ask(cls=1, after=10 * MS, prefix=5, session=9)[1]).server != home
+    assert only(Send, w.ask(cls=1, after=4 * S, prefix=5, session=9)[1]).server == home, "old word is no word"
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -30,6 +30,7 @@
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 1.6  # times the threshold at which top worth is refused too: past it most would only be late
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
+SPEED_SMOOTHING = 0.05  # weight of an answer in its role's time per token: in a jam each alone misleads
 SILENCE_FLOOR = 0.5  # share of the aim before which no attempt is given up: two tries still fit into the aim
 SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
@@ -159,12 +160,13 @@
             flight.hurried = True
             reader = self._pick_reader(flight)
             look = self._outlook(flight, reader)
-        if look > most:  # A turn at a cold reader is room, whatever the others look like.
+        if look > most / 2:  # On the way to a jam a turn at any cold reader is room, and would lapse.
             open_to = self._pool(self._order(flight), flight, len(self.seats))
-            reader = next((s for s in open_to if self._cold_turn(s, flight)), reader)
-            look = self._outlook(flight, reader)
+            near = [s for s in open_to if look > most or not self._abroad(s)]
+            if turn := next((s for s in near if self._cold_turn(s, flight)), None):
+                reader, look = turn, self._outlook(flight, turn)
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
-        soonest = sum(self.kinds[role, False].usual for role in roles) * aim  # To a first token, usually.
+        soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left
         self.refused_at = self.now if refuse else self.refused_at
         flight.wait = int(look - most) if refuse else 0  # Till what waits may be down to the threshold.
@@ -204,7 +206,9 @@
             kind = self.kinds[role, far]
             olds = [self._oldest(s) for s in self.fleet.ready(role) if s.kind is kind]
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
-            told = TYPICAL_WEIGHT * self.unseen**2 * (kind.waiting + kind.work) * kind.us_per_token
+            waits = kind.waiting  # A queue just reported by the very reader tells more than its peers'.
+            waits += (reader.waiting - waits) * self._fresh(reader) if reader and reader.role is role else 0.0
+            told = TYPICAL_WEIGHT * self.unseen**2 * (waits + kind.work) * kind.us_per_token
             aged = self.unseen**AGES_POWER * median_low([0, *(self.now - old.sent for old in olds if old)])
             typical += max(fresh * (told + kind.full * flight.aim), aged)
         return queue if reader and self._cold_turn(reader, flight) else max(queue, typical)
@@ -212,8 +216,7 @@
     # -- the first stage: a reader
 
     def _pick_reader(self, flight: Flight) -> Seat | None:
-        request = flight.request
-        order = self._order(flight)
+        request, order = flight.request, self._order(flight)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
         own = (sum(not self._abroad(s) for s in order) if self.zones else 0) or len(order)
         count = max(1, int(HOME_SHARE * self.unseen * own)) if request.prefix else 1
@@ -282,7 +285,8 @@
         the threshold fits fast and slow servers, long and short prompts; slowness alone is no overload."""
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
         others = (self._depth(seat) - len(seat.open)) * seat.busy_tokens / self.settings.replicas
-        return max(seat.open_work, others * (seat.role is Role.BOTH)) * self._us_per_token(seat)
+        others = others if seat.role is Role.BOTH else self.unseen**2 * seat.waiting * self._fresh(seat)
+        return max(seat.open_work, others) * self._us_per_token(seat)
 
     def _us_per_token(self, seat: Seat) -> float:
         """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
@@ -517,15 +521,11 @@
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         kind, read = seat.kind, seat.role is not Role.WRITE and flight.held is None
         seat.answered(flight, latency, self.now, SMOOTHING, read)
-        kind.answered(flight, latency, seat.waiting, self._news(kind), read, self.now)
+        kind.answered(flight, latency, seat.waiting, SPEED_SMOOTHING, read, self.now)
         kind.ended(0.0, 0.0, self.now, SMOOTHING)
         seat.breaks = 0
         self._clear(seat, flight)
 
-    def _news(self, kind: Kind) -> float:
-        """Weight of an answer in what its role has shown: the longer nothing was told, the more."""
-        return max(SMOOTHING, min((self.now - kind.heard_at) / REPORT_LIFE_US, 1.0))
-
     def _bad(self, seat: Seat, event: Outcome, flight: Flight) -> None:
         """What a failed attempt says, and of what: a broken connection of the server, an error or silence of
         its service of one class, a slow `full` of one tenant's; a quick one tells lack of room."""
@@ -550,7 +550,8 @@
         told = self.seats.get(event.server)
         if told and event.load:
             told.told(dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
-            told.kind.waiting += self._news(told.kind) * (told.waiting - told.kind.waiting)
+            news = max(SMOOTHING, min((self.now - told.kind.heard_at) / REPORT_LIFE_US, 1.0))
+            told.kind.waiting += news * (told.waiting - told.kind.waiting)
         if flight is None or flight.at is None:
             if event.status is Status.READ:
                 self.out.append(Release(event.id))
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -5,7 +5,6 @@
 import math
 from collections import deque
 from dataclasses import dataclass, field, replace
-from statistics import median_low
 
 from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
 
@@ -62,9 +61,9 @@
     carried_at: int = 0
 
     @property
-    def usual(self) -> float:
-        """The pace that half of its last answers have kept; 0 where there were none."""
-        return median_low(self.paces) if self.paces else 0.0
+    def quick(self) -> float:
+        """The pace that only a quarter of its last answers were quicker than; 0 where there were none."""
+        return sorted(self.paces)[len(self.paces) // 4] if self.paces else 0.0
 
     def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool,
                  now: int) -> None:
