--- a/tuliptrack/decisions/worse.py
+++ b/tuliptrack/decisions/worse.py
@@ -24,7 +24,7 @@
 
 STAKES = (0.15, 0.4, 1.0)  # of a deviation, from many small differences to a few great ones; played side by side
 CLIP = 3.0  # deviations past which a node's window counts no more: one bad moment is no verdict
-SHRINK = 30.0  # requests by which a node's own past is pulled to its stratum's: fewer tell little of the node
+SHRINK = 12.0  # of those gone badly, by which a node's past is pulled to its stratum's: nodes differ by some third
 FADE = 0.98  # of the past kept at each window: some fifty windows tell what is usual
 
 
@@ -62,7 +62,7 @@
         count, bad = self.strata.get(stratum, (0.0, 0.0))
         usual = (bad + 0.5) / (count + 1.0)
         count, bad = self.nodes.get((node, stratum), (0.0, 0.0))
-        return min((bad + SHRINK * usual) / (count + SHRINK), 1.0)
+        return min((bad + SHRINK) / (count + SHRINK / usual), 1.0)
 
     def forget(self, known: set[str]) -> None:
         """Let go of nodes that are no longer in the fleet."""
