A host that is cut off keeps no controller waiting, and who stands by knows what is usual

Seen: with one agent cut off, `fleet start` was answered after a second or more, its client asked again and was told that the rollout is under way. Cause: `_ask_all` waited for the slowest agent in every look and every settling. Now each host is looked at by a task of its own, a record is settled by the first majority, and the same plan asked for twice is answered with the state. Controllers that don't act learn what is usual too, and a plan begins only when that is known (`least_learnt`).

`lab/wire.py`: a TCP link that is cut one way or both, delays, resets, stays half open. By processes: an agent cut off one way and both, nobody else changed meanwhile; the acting controller killed while a host changes, the defect still found by the next one. 13 tests of the fleet's processes in 35 s.

--- a/tests/decisions/test_rollout.py
+++ b/tests/decisions/test_rollout.py
@@ -205,7 +205,9 @@
 
 def test_two_plans_at_once_and_bad_plans_name_the_field() -> None:
     rollout = Rollout()
-    rollout.settled(rollout.begin(PLAN))
+    with pytest.raises(PlanError, match="least_learnt: 20 windows"):
+        rollout.begin(PLAN)
+    rollout.settled(rollout.begin(replace(PLAN, least_learnt=0)))
     with pytest.raises(PlanError, match="under way"):
         rollout.begin(PLAN)
     bad: list[tuple[dict[str, object], str]] = [
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -21,6 +21,7 @@
 from tuliptrack.decisions.rollout import Plan, Release, Stage
 from tuliptrack.fleet.ask import Unanswered, ask
 from tuliptrack.lab.engine import Engine
+from tuliptrack.lab.wire import Cut, Wire
 from tuliptrack.proto import generation_pb2, lab_pb2
 from tuliptrack.proto import rollout_pb2 as pb
 from tuliptrack.rpc.channel import Channel, End, Options
@@ -79,6 +80,8 @@
         self.folder, self.engines = folder, World()
         self.agents: dict[str, Process] = {}
         self.controllers: list[Process] = []
+        self.wires: dict[str, Wire] = {}
+        """Between controllers and each host's agent."""
         self.answers: Counter[str] = Counter()
         self.double = 0
         self.most_out = 0
@@ -155,7 +158,7 @@
     def plan(self, program: str, **changes: Any) -> pb.BeginRequest:
         plan = Plan(Release(GOOD, CONF), Release(program, CONF), dict.fromkeys(HOSTS, "z"),
                     (Stage(("h0",), 60, 2_000_000, 60_000_000), Stage(("h1", "h2"), 60, 1_000_000, 60_000_000)), margin=0.2,
-                    allowance=300_000, ready_within=15_000_000)
+                    least_learnt=2, allowance=300_000, ready_within=15_000_000)
         return pb.BeginRequest(plan=json.dumps(asdict(plan) | changes))
 
     def pids(self) -> set[int]:
@@ -191,8 +194,11 @@
                 (root / "programs" / program / "run").chmod(0o755)
             made.agents[host] = await Process("agent", host, str(root), "--program", GOOD, "--settings", CONF,
                                               log=folder / f"{host}.log").start()
+        for host, one in made.agents.items():
+            made.wires[host] = Wire(one.address)
+            await made.wires[host].start()
         (folder / "hosts").write_text(json.dumps(
-            [{"name": h, "zone": "z", "agent": a.address} for h, a in made.agents.items()]))
+            [{"name": h, "zone": "z", "agent": wire.address} for h, wire in made.wires.items()]))
         for number in range(3):
             made.controllers.append(await Process(
                 "fleet", "serve", str(number), str(folder / "hosts"), "--window", "0.5", "--takeover", "0.6",
@@ -203,6 +209,8 @@
             await asyncio.sleep(0.1)
         made.tasks.append(asyncio.get_running_loop().create_task(made.clients()))
         await until(lambda: made.answers["OK"] > 200)
+        while (await made.ask("State", pb.StateRequest())).learnt < 2:
+            await asyncio.sleep(0.1)
         yield made
         assert not made.double, "calls with two ends"
     finally:
@@ -215,6 +223,8 @@
             os.kill(pid, signal.SIGKILL)
         for channel in made._channels.values():
             await channel.close()
+        for wire in made.wires.values():
+            await wire.stop()
         for engine in made.engines.engines.values():
             await engine.stop()
         await made.engines.feed.stop()
@@ -290,3 +300,43 @@
             assert f.most_out <= 1 and (await f.look())["h0"].release.program == GOOD
 
     run(go, 120)
+
+
+@pytest.mark.parametrize("cut", [Cut.BACK, Cut.BOTH])
+def test_an_agent_that_is_cut_off_counts_as_out_and_obeys_once_it_is_back(cut: Cut, tmp_path: Path) -> None:
+    """One way: orders reach it, its answers don't come back; so it changes, and the controller can't know. No other host is
+    changed meanwhile."""
+    async def go() -> None:
+        async with fleet(tmp_path) as f:
+            f.wires["h0"].set(cut)
+            while not f.hosts or f.hosts["h0"]["heard"]:
+                await f.record()
+            await f.ask("Begin", f.plan(GOOD + "b", stages=[{"hosts": ["h1"], "shortest": 0}, {"hosts": ["h0", "h2"]}]))
+            for _ in range(40):
+                reports = await f.look()
+                assert reports["h1"].changes == reports["h2"].changes == 0 and f.most_out <= 1
+                await asyncio.sleep(0.05)
+            assert (await f.record())["wanted"] == [] and not f.hosts["h0"]["heard"]
+            await f.ask("Say", pb.SayRequest(command="abort"))
+            f.wires["h0"].set(Cut.NOTHING)
+            record = await f.until_phase("taken back")
+            assert "aborted" in record["reason"] and f.most_out == 0
+
+    run(go, 120)
+
+
+def test_the_acting_controller_dies_while_a_host_changes_and_the_defect_is_still_found(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with fleet(tmp_path) as f:
+            await f.ask("Begin", f.plan(BAD))
+            while (await f.look())["h0"].changes == 0:
+                await asyncio.sleep(0.02)
+            first = await f.acting()
+            f.controllers[first].send(signal.SIGKILL)
+            record = await f.until_phase("taken back", "done", "held")
+            assert record["phase"] == "taken back" and await f.acting() != first, record
+            reports = await f.look()
+            assert [reports[h].changes for h in HOSTS] == [2, 0, 0] and f.most_out <= 1
+            assert {r.release.program for r in reports.values()} == {GOOD}
+
+    run(go, 120)
--- a/tuliptrack/cli/fleet.py
+++ b/tuliptrack/cli/fleet.py
@@ -94,11 +94,11 @@
 def _show(state: pb.FleetState, as_json: bool) -> dict[str, Any]:
     record, hosts = json.loads(state.record), json.loads(state.hosts)
     if as_json:
-        click.echo(json.dumps({"epoch": state.epoch, "record": record, "hosts": hosts}))
+        click.echo(json.dumps({"epoch": state.epoch, "record": record, "hosts": hosts, "learnt": state.learnt}))
         return dict(record)
     stages = len(record["plan"]["stages"]) if record["plan"] else 0
     click.echo(f"rollout {record['number']}: {record['phase']}, stage {record['stage'] + 1} of {stages}: {record['reason']}"
-               if record["number"] else "no rollout yet")
+               if record["number"] else f"no rollout yet; what is usual is known from {state.learnt} windows")
     for name, host in sorted(hosts.items()):
         what = "not heard of" if not host["heard"] else (
             f"{'ready' if host['ready'] else 'out'}, runs {host['release'] or 'nothing'}, died {host['died']}"
--- a/tuliptrack/decisions/rollout.py
+++ b/tuliptrack/decisions/rollout.py
@@ -29,6 +29,7 @@
 """What is counted as gone badly: of a class's requests, but the last three, which are of a node's windows."""
 FALSE_STOPS = 0.002  # level of the evidence, all measures together: at 0.01 three in 200 clean rollouts were stopped, as
 # nodes' lasting differences are only known from some windows
+_PLAIN = ("most_out", "most_out_zone", "margin", "ready_within", "least_learnt", "allowance")  # fields that JSON holds as is
 _SHOWN = ("refused", "failed", "broken", "late")  # what must be within the margin, not only without evidence against it
 LEANS = 1.0  # log of the wealth past which a stage isn't left: it may become evidence yet
 GUARD = 0.15  # share of old nodes' requests beyond the usual that goes badly (of all, once none is old): a person is called
@@ -100,6 +101,8 @@
     """Share more of requests gone badly that is still no worse."""
     ready_within: int = 30_000_000
     """Until a changed node must be ready, cold tables and connections counted; after it, it can't start."""
+    least_learnt: int = 20
+    """Windows from which whoever acts must know what is usual, before this plan may begin."""
     allowance: int = 10_000_000
     """After it is ready, in which a new node's requests aren't compared."""
 
@@ -163,7 +166,7 @@
         plan = told.get("plan")
         if plan is not None:
             stages = tuple(Stage(tuple(s["hosts"]), s["least_requests"], s["shortest"], s["longest"]) for s in plan["stages"])
-            rest = {k: plan[k] for k in ("most_out", "most_out_zone", "margin", "ready_within", "allowance") if k in plan}
+            rest = {k: plan[k] for k in _PLAIN if k in plan}
             plan = Plan(Release(**plan["old"]), Release(**plan["new"]), plan["zones"], stages, **rest)
         return Record(told["number"], Phase(told["phase"]), plan, told["stage"], frozenset(told["wanted"]), told["reason"],
                       Phase(told["before"]))
@@ -212,6 +215,8 @@
         if self.record.phase not in (Phase.NONE, Phase.DONE, Phase.TAKEN_BACK):
             raise PlanError(f"plan: rollout {self.record.number} is under way ({self.record.phase.value})")
         plan.check()
+        if self.learnt < plan.least_learnt:
+            raise PlanError(f"least_learnt: {plan.least_learnt} windows are wanted, {self.learnt} are known so far")
         return Record(self.record.number + 1, Phase.FORWARD, plan, reason="begun by an operator")
 
     def command(self, command: Command) -> Record:
@@ -242,7 +247,7 @@
         seen = {r.host: r for r in reports}
         record, plan = self.record, self.record.plan
         if plan is None or record.phase in (Phase.NONE, Phase.DONE, Phase.TAKEN_BACK):
-            self._learn(seen.values())
+            self.learn(seen.values())
             return None
         self.since = self.since or now
         self._find_out(now, plan, seen)
@@ -252,7 +257,8 @@
             return self._step_back(now, plan, seen)
         return self._verdict(now, plan, seen) or self._step(now, plan)
 
-    def _learn(self, reports: Iterable[Report]) -> None:
+    def learn(self, reports: Iterable[Report]) -> None:
+        """Take in a window in which nothing is being changed: what is usual."""
         self.learnt += 1
         reports = list(reports)
         for measure in MEASURES:
--- a/tuliptrack/fleet/controller.py
+++ b/tuliptrack/fleet/controller.py
@@ -7,16 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, fields
 from typing import Any
 
 import structlog
 
 from tuliptrack.decisions.register import Proposer
-from tuliptrack.decisions.rollout import Command, Plan, PlanError, Record, Release, Report, Rollout, Stage
+from tuliptrack.decisions.rollout import Command, Phase, Plan, PlanError, Record, Release, Report, Rollout, Stage
 from tuliptrack.fleet.ask import Unanswered, ask
 from tuliptrack.proto import rollout_pb2 as pb
 from tuliptrack.rpc.channel import Channel, Options
@@ -49,7 +48,7 @@
         told = json.loads(text)
         if not isinstance(told, dict):
             raise PlanError("plan: must be an object")
-        known = {"old", "new", "zones", "stages", "most_out", "most_out_zone", "margin", "ready_within", "allowance"}
+        known = {f.name for f in fields(Plan)}
         if unknown := set(told) - known:
             raise PlanError(f"{min(unknown)}: is no field of a plan")
         stages = tuple(Stage(**{**s, "hosts": tuple(s["hosts"])}) for s in told.pop("stages"))
@@ -67,6 +66,7 @@
         self.number, self.hosts, self.window, self.takeover = number, {h.name: h for h in hosts}, window, takeover
         self.proposer = Proposer(number, frozenset(self.hosts))
         self.rollout = Rollout()
+        self._pause = min(window, takeover) / 5e6
         self.channels = {h.name: Channel(h.agent, Options(connect_timeout=500_000)) for h in hosts}
         self.reports: dict[str, pb.HostReport] = {}
         """Of each host, the last one; gone when the next question goes unanswered."""
@@ -78,17 +78,22 @@
         self.server.add("tuliptrack.v1.Fleet", "Begin", unary_request(pb.BeginRequest, self._begin))
         self.server.add("tuliptrack.v1.Fleet", "Say", unary_request(pb.SayRequest, self._say))
         self.server.add("tuliptrack.v1.Fleet", "State", unary_request(pb.StateRequest, lambda call, _: self._tell(call)))
-        self._task: asyncio.Task[None] | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        for task in (self._run(), *(self._look_at(name) for name in self.hosts)):
+            self._own(asyncio.get_running_loop().create_task(task))
         return await self.server.listen(host, port)
 
+    def _own(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def stop(self) -> None:
-        if self._task:
-            self._task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._task
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.server.stop(0)
         for channel in self.channels.values():
             await channel.close()
@@ -103,7 +108,7 @@
         record = json.dumps(self.rollout.record.as_dict()) if self.acts else ""
         hosts = {name: {"zone": h.zone, **self._host(name)} for name, h in self.hosts.items()}
         call.send(pb.FleetState(leads=self.acts, epoch=self.proposer.epoch, record=record,
-                                hosts=json.dumps(hosts)).SerializeToString())
+                                hosts=json.dumps(hosts), learnt=self.rollout.learnt).SerializeToString())
         call.end(Status(Code.OK))
 
     def _host(self, name: str) -> dict[str, Any]:
@@ -128,6 +133,9 @@
         try:
             plan = plan_from(request.plan)
             zones = {name: h.zone for name, h in self.hosts.items()}
+            if plan == self.rollout.record.plan and self.rollout.record.phase in (Phase.FORWARD, Phase.PAUSED):
+                self._tell(call)  # The operator's word came twice, as the first answer was lost.
+                return
             if dict(plan.zones) != zones:
                 odd = sorted(set(plan.zones.items()) ^ set(zones.items()))[0]
                 raise PlanError(f"zones: {odd[0]!r} in {odd[1]!r} is not what this fleet has")
@@ -147,43 +155,58 @@
     # -- who acts
 
     async def _run(self) -> None:
-        """Look at all agents, again and again; decide once a window where this one acts, claim where nobody does."""
-        pause = min(self.window, self.takeover) / 5e6
+        """Decide once a window where this one acts, claim where nobody does."""
         while True:
-            await self._look()
+            await asyncio.sleep(self._pause)
+            for report in self.reports.values():
+                self.proposer.refused(report.promised)
             if not self.proposer.leads:
+                self._learn()
                 await self._claim_if_unled()
             elif self.acts:
                 await self._act()
             else:
                 await self._settle(None)
             self._let_go()
-            await asyncio.sleep(pause)
 
-    async def _ask_all(self, method: str, questions: Mapping[str, Any], kind: Any) -> dict[str, Any]:
-        async def one(name: str) -> tuple[str, Any]:
+    async def _look_at(self, name: str) -> None:
+        """Send one agent its order, where this one acts, and take its report in, again and again. A host that is cut off keeps
+        nobody else waiting."""
+        while True:
+            question = pb.LookRequest()
+            if self.acts and self.proposer.settled:
+                (question.order.epoch, question.order.number), _ = self.proposer.settled
+                if wanted := self.rollout.record.release(name):
+                    question.release.program, question.release.settings = wanted.program, wanted.settings
+            try:
+                self.reports[name] = await ask(self.channels[name], "Agent/Look", question, pb.HostReport, _ANSWER_US)
+            except Unanswered as error:
+                log.debug("no report", host=name, reason=str(error))
+                self.reports.pop(name, None)
+            await asyncio.sleep(self._pause)
+
+    async def _ask_all(self, method: str, question: Any, each: Callable[[str, pb.AgentAnswer], bool]) -> None:
+        """Ask every agent; hand each answer on until one of them is enough (True). The others are still told."""
+        async def one(name: str) -> tuple[str, pb.AgentAnswer | None]:
             try:
-                return name, await ask(self.channels[name], method, questions[name], kind, _ANSWER_US)
+                return name, await ask(self.channels[name], method, question, pb.AgentAnswer, _ANSWER_US)
             except Unanswered as error:
                 log.debug("no answer", host=name, method=method, reason=str(error))
                 return name, None
 
-        answers = await asyncio.gather(*(one(name) for name in questions))
-        return {name: answer for name, answer in answers if answer is not None}
-
-    async def _look(self) -> None:
-        """Send every agent its order, where this one acts, and take the reports in."""
-        questions = {}
-        for name in self.hosts:
-            question = questions[name] = pb.LookRequest()
-            if self.acts and self.proposer.settled:
-                mark, _ = self.proposer.settled
-                question.order.epoch, question.order.number = mark
-                if wanted := self.rollout.record.release(name):
-                    question.release.program, question.release.settings = wanted.program, wanted.settings
-        self.reports = await self._ask_all("Agent/Look", questions, pb.HostReport)
-        for report in self.reports.values():
-            self.proposer.refused(report.promised)
+        left = {asyncio.get_running_loop().create_task(one(name)) for name in self.hosts}
+        for task in left:
+            self._own(task)
+        while left:
+            done, left = await asyncio.wait(left, return_when=asyncio.FIRST_COMPLETED)
+            for task in done:
+                name, answer = task.result()
+                if answer is None:
+                    continue
+                if not answer.agreed:
+                    self.proposer.refused(answer.promised)
+                elif each(name, answer):
+                    return
 
     async def _claim_if_unled(self) -> None:
         unled = sorted(r.unled_for for r in self.reports.values())
@@ -192,28 +215,21 @@
         if len(unled) < needed or unled[len(unled) - needed] < self.takeover * (1 + 0.5 * self.number):
             return
         epoch = self.proposer.claim()
-        question = pb.PromiseRequest(epoch=epoch)
-        answers = await self._ask_all("Agent/Promise", dict.fromkeys(self.hosts, question), pb.AgentAnswer)
-        for name, a in answers.items():
-            if not a.agreed:
-                self.proposer.refused(a.promised)
-            elif self.proposer.promised(name, epoch, (a.mark.epoch, a.mark.number), a.value):
-                log.info("acts", controller=self.number, epoch=epoch)
+        await self._ask_all("Agent/Promise", pb.PromiseRequest(epoch=epoch), lambda name, a: self.proposer.promised(
+            name, epoch, (a.mark.epoch, a.mark.number), a.value))
         if self.proposer.leads:
+            log.info("acts", controller=self.number, epoch=epoch)
             await self._settle(None)
 
     async def _settle(self, record: Record | None) -> None:
         """Have a record held by a majority: a new one, or again the one that is being written."""
         if record is not None:
             self.proposer.write(json.dumps(record.as_dict()).encode())
-        (epoch, number), value = self.proposer.mark, self.proposer.value
-        question = pb.AcceptRequest(mark=pb.Mark(epoch=epoch, number=number), value=value)
-        answers = await self._ask_all("Agent/Accept", dict.fromkeys(self.hosts, question), pb.AgentAnswer)
-        for name, a in answers.items():
-            if not a.agreed:
-                self.proposer.refused(a.promised)
-            elif self.proposer.accepted(name, (epoch, number)):
-                self._settled(value)
+        mark, value = self.proposer.mark, self.proposer.value
+        question = pb.AcceptRequest(mark=pb.Mark(epoch=mark[0], number=mark[1]), value=value)
+        await self._ask_all("Agent/Accept", question, lambda name, _: self.proposer.accepted(name, mark))
+        if self.proposer.settled == (mark, value):
+            self._settled(value)
 
     def _settled(self, value: bytes) -> None:
         before = self.rollout.record
@@ -238,6 +254,17 @@
         if self.proposer.settled and self.proposer.mark != self.proposer.settled[0] and self.proposer.leads:
             await self._settle(None)  # Not yet held by a majority: told again until it is, or another acts.
 
+    def _learn(self) -> None:
+        """While another one acts: know what is usual, as this one may have to go on. Only what every host, ready and with one
+        and the same release, does can be that."""
+        now = now_us()
+        if now - self._window_at < self.window:
+            return
+        self._window_at = now
+        told = self._gather()
+        if len(told) == len(self.hosts) and all(r.ready for r in told) and len({r.release for r in told}) == 1:
+            self.rollout.learn(told)
+
     def _let_go(self) -> None:
         """Answer operators whose word is settled, or was lost with this one's turn."""
         for call, record in self._waiting:
