One piece of code runs what listens until it is told to stop

Seen on reading the change again: `fleet serve` and `agent` had each written anew what `lab engine` does (signals, start, one JSON line, stop); now `cli/running.py` serves all three. The agent's wait before the next start stood twice and is `_wait`; its copies of the acceptor are `replace`; the command line takes the number of controllers from the register; a reset in the controller that the next lines do anyway is gone.

--- a/tuliptrack/cli/agent.py
+++ b/tuliptrack/cli/agent.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import signal
 from pathlib import Path
 
 import click
 
+from tuliptrack.cli.running import run_until_told
 from tuliptrack.decisions.rollout import Release
 from tuliptrack.fleet.agent import Agent
 from tuliptrack.node.logs import set_up
@@ -27,17 +26,7 @@
     """Run the node of HOST from FOLDER until SIGTERM, which leaves the node running. Prints one JSON line with the address."""
     set_up(json_lines=True)
     try:
-        asyncio.run(_run(Agent(host, folder, Release(program, settings)), listen))
+        one = Agent(host, folder, Release(program, settings))
+        asyncio.run(run_until_told(one, listen, life=one.life))
     except (SealedError, OSError) as error:
         raise click.ClickException(str(error)) from None
-
-
-async def _run(one: Agent, listen: str) -> None:
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    host, _, port = listen.rpartition(":")
-    address = await one.start(host, int(port))
-    print(json.dumps({"address": address, "life": one.life}), flush=True)
-    await stop.wait()
-    await one.stop()
--- a/tuliptrack/cli/fleet.py
+++ b/tuliptrack/cli/fleet.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
-import signal
 import sys
 from pathlib import Path
 from typing import Any
 
 import click
 
+from tuliptrack.cli.running import run_until_told
+from tuliptrack.decisions.register import MOST_CONTROLLERS
 from tuliptrack.fleet.ask import Unanswered, ask
 from tuliptrack.fleet.controller import Controller, Host
 from tuliptrack.node.logs import set_up
@@ -41,7 +42,7 @@
 
 
 @fleet.command()
-@click.argument("number", type=click.IntRange(0, 63))
+@click.argument("number", type=click.IntRange(0, MOST_CONTROLLERS - 1))
 @click.argument("hosts", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 @click.option("--listen", default="127.0.0.1:0", help="host:port for operators; port 0: the kernel chooses.")
 @click.option("--window", default=5.0, type=click.FloatRange(0.05), help="Seconds of reports between decisions.")
@@ -51,18 +52,7 @@
     with `name`, `zone` and `agent` (host:port). Prints one JSON line with the address."""
     set_up(json_lines=True)
     one = Controller(number, read_hosts(hosts), int(window * 1e6), int(takeover * 1e6))
-    asyncio.run(_serve(one, listen))
-
-
-async def _serve(one: Controller, listen: str) -> None:
-    stop = asyncio.Event()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(name, stop.set)
-    host, _, port = listen.rpartition(":")
-    address = await one.start(host, int(port))
-    print(json.dumps({"address": address}), flush=True)
-    await stop.wait()
-    await one.stop()
+    asyncio.run(run_until_told(one, listen))
 
 
 async def _first(controllers: tuple[str, ...], method: str, question: Any) -> pb.FleetState:
--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -5,13 +5,12 @@
 import asyncio
 import contextlib
 import json
-import signal
 import sys
-from typing import IO
 
 import click
 
 from tuliptrack.cli.errors import BadFile
+from tuliptrack.cli.running import run_until_told
 from tuliptrack.config.textformat import ConfigError, read_file
 from tuliptrack.lab.engine import Engine
 from tuliptrack.node.logs import set_up
@@ -47,19 +46,9 @@
         raise click.UsageError("--role or a model with a role is needed")
     set_up(json_lines=False, quiet=True)
     with open(log_path, "a") if log_path else contextlib.nullcontext() as seen:
-        asyncio.run(_engine(name, made, listen, seen, cold))
+        asyncio.run(run_until_told(Engine(name, made, seen, cold), listen))
 
 
-async def _engine(name: str, model: lab_pb2.EngineModel, listen: str, file: IO[str] | None, cold: bool) -> None:
-    one = Engine(name, model, file, cold)
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    host, _, port = listen.rpartition(":")
-    address = await one.start(host, int(port))
-    print(json.dumps({"address": address}), flush=True)
-    await stop.wait()
-    await one.stop()
 @lab.command()
 @click.argument("file", type=click.Path())
 @click.option("--seed", type=int, help="In place of the scenario's own.")
--- a/tuliptrack/fleet/agent.py
+++ b/tuliptrack/fleet/agent.py
@@ -17,6 +17,7 @@
 import secrets
 import signal
 import subprocess
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -38,8 +39,6 @@
 _LOOK_S = 0.05  # seconds between looks at the node's process
 _TERM_S = 10.0  # after SIGTERM until SIGKILL: a node that ignores it would hold the host for ever
 _AGAIN_S = (0.2, 5.0)  # before a node that died is started again: doubled at each death in a row, up to so much
-
-
 _NAME = re.compile(r"[0-9A-Za-z][0-9A-Za-z_.-]{0,127}")
 _MARK = "TULIPTRACK_HOST"  # in a node's environment: the folder, then what it runs
 
@@ -154,11 +153,11 @@
         self._answer(call, agreed)
 
     def _promise(self, call: ServerCall, request: pb.PromiseRequest) -> None:
-        then = Acceptor(self.acceptor.promised, self.acceptor.mark, self.acceptor.value)
+        then = replace(self.acceptor)
         self._change(call, then, then.promise(request.epoch))
 
     def _accept(self, call: ServerCall, request: pb.AcceptRequest) -> None:
-        then = Acceptor(self.acceptor.promised, self.acceptor.mark, self.acceptor.value)
+        then = replace(self.acceptor)
         self._change(call, then, then.accept((request.mark.epoch, request.mark.number), request.value))
 
     def _look(self, call: ServerCall, request: pb.LookRequest) -> None:
@@ -234,8 +233,7 @@
             self.pid, self._born, self.running, self.ready_at, self.address = 0, "", None, 0, ""
             if unasked:
                 self.died += 1
-                self._in_a_row += 1
-                self._not_before = now + min(_AGAIN_S[0] * 2 ** (self._in_a_row - 1), _AGAIN_S[1])
+                self._wait(now)
             else:
                 self._in_a_row, self._not_before = 0, 0.0
         if not self.pid:
@@ -251,6 +249,11 @@
         elif not self.ready_at:
             self._see_ready()
 
+    def _wait(self, now: float) -> None:
+        """Put the next start off, longer at each failure in a row."""
+        self._not_before = now + min(_AGAIN_S[0] * 2**self._in_a_row, _AGAIN_S[1])
+        self._in_a_row += 1
+
     def _signal(self, number: signal.Signals) -> None:
         with contextlib.suppress(ProcessLookupError):
             os.kill(self.pid, number)
@@ -275,5 +278,4 @@
             log.info("node started", pid=self.pid, release=self.release.name)
         except OSError as error:
             self.trouble = f"{run}: {error.strerror or error}"
-            self._in_a_row += 1
-            self._not_before = now + min(_AGAIN_S[0] * 2 ** (self._in_a_row - 1), _AGAIN_S[1])
+            self._wait(now)
--- a/tuliptrack/fleet/controller.py
+++ b/tuliptrack/fleet/controller.py
@@ -274,7 +274,6 @@
                 call.end(Status(Code.UNAVAILABLE, "another controller acts now; ask for the state"))
             else:
                 continue
-            self._next = None
         self._waiting = [w for w in self._waiting if w[0].open]
         if not self._waiting:
             self._next = None
