A read state is let go where one connection after another fails to come up

Ruled out: releases (172 traced, none past its second try).

At fault: Core._send and attempt_over passed on to the next writer without looking at how long the state had been held. Now an attempt for a held state waits for a connection only until letGoBy after the last attempt that reached an engine, then the state is let go and the prompt read anew; such a cut-short wait blames no engine. A release's next try goes to the engine heard from last, not to the first one in the list.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -14,12 +14,14 @@
 import pytest
 from relay_world import (
     OPENING,
+    SETTINGS,
     STREAM,
     TOKENS,
     Peer,
     Platform,
     Script,
     Seen,
+    Vanished,
     chunk,
     config,
     hangs,
@@ -137,6 +139,26 @@
     run(go)
 
 
+def test_a_state_is_not_held_while_one_connection_after_another_fails_to_come_up() -> None:
+    """With three writers that take no connection it was held for three times `connectTimeout`."""
+    async def go() -> None:
+        held: list[float] = []
+        let_go: list[float] = []
+
+        async def reader(one: Seen, writer: asyncio.StreamWriter) -> None:
+            (let_go if one.method == "DELETE" else held).append(asyncio.get_running_loop().time())
+            await reads(one, writer)
+
+        async with platform(r0=reader, w0=Vanished(), w1=Vanished(), w2=Vanished()) as p:
+            reply = await p.ask()
+            assert reply.status in (429, 503) and reply.whole
+            assert len(held) == len(let_go) >= 1
+            slack = (SETTINGS["specifics"]["letGoBy"] + 300_000) / 1e6  # the platform's, from its own page
+            assert all(gone - since <= slack for since, gone in zip(held, let_go, strict=True))
+
+    run(go)
+
+
 def _record(call_id: str) -> Any:
     class Ask:
         class payload:
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -7,6 +7,7 @@
 import itertools
 import json
 import re
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -114,6 +115,27 @@
         return [one for one in self.seen if one.method == method]
 
 
+class Vanished(Peer):
+    """An engine whose machine takes no connection and says nothing of it: its queue of them is full."""
+
+    def __init__(self) -> None:
+        super().__init__(hangs)
+        self._held: list[socket.socket] = []
+
+    async def start(self) -> Peer:
+        full = socket.create_server(("127.0.0.1", 0), backlog=0)
+        self.address = "{}:{}".format(*full.getsockname())
+        self._held = [full, *(socket.socket() for _ in range(4))]
+        for one in self._held[1:]:
+            one.setblocking(False)
+            one.connect_ex(full.getsockname())
+        return self
+
+    async def stop(self) -> None:
+        for one in self._held:
+            one.close()
+
+
 async def reads(one: Seen, writer: asyncio.StreamWriter) -> None:
     """A reader: 202 with what was kept; 204 to a release."""
     if one.method == "DELETE":
@@ -242,9 +264,9 @@
 
 
 @contextlib.asynccontextmanager
-async def platform(changes: dict[str, Any] | None = None, **scripts: Script) -> AsyncIterator[Platform]:
+async def platform(changes: dict[str, Any] | None = None, **scripts: Script | Peer) -> AsyncIterator[Platform]:
     """A relay before these engines: `r…` read, `w…` write, `m…` do both."""
-    engines = {name: await Peer(script).start() for name, script in scripts.items()}
+    engines = {name: await (one if isinstance(one, Peer) else Peer(one)).start() for name, one in scripts.items()}
     made = Platform(engines, Peer(hangs))
     made.agent.script = made.answers
     await made.agent.start()
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -29,6 +29,7 @@
 __all__ = ["Core", "CoreLimits", "key"]
 
 log = structlog.get_logger("node")
+_HAIR = 1_000  # microseconds by which a timer may fire early
 _MAY_HAVE_READ = (io.Status.CANCELLED, io.Status.TIMEOUT, io.Status.RESET)
 
 
@@ -278,6 +279,7 @@
         left = record.due - now
         if record.held:
             attempt.reader = record.held.server
+            attempt.connect_by = record.held_at + self.settings.release_within
         attempt.cut_at_due = not action.timeout or action.timeout >= left
         timeout = max(left if attempt.cut_at_due else action.timeout, 1)
         record.out = attempt
@@ -301,7 +303,7 @@
     def read(self, record: Record, attempt: Attempt, held: Held, kept: int) -> None:
         """The prompt has been read: `held` waits there, `kept` tokens of it needed no reading."""
         record.cached_tokens = max(0, min(kept, record.ask.prompt_tokens))
-        record.held = held
+        record.held, record.held_at = held, self.now()
 
     def answers(self, record: Record, attempt: Attempt) -> bool:
         """A part of the answer has come; True where it is to be passed on. With the first one the stream has begun."""
@@ -351,8 +353,13 @@
                     record.reads += status is io.Status.READ
                 record.go(State.HELD if status is io.Status.READ else State.TAKEN)
             elif record.state is State.WRITING:
-                if lost and record.held and status is io.Status.RESET:
+                # A state is held on while one connection after another fails to come up. Past the time that it may be held
+                # without an attempt, it is let go, and the prompt read anew.
+                lost = lost or (status is io.Status.CONNECT_FAILED and 0 < attempt.connect_by <= self.now() + _HAIR)
+                if lost and record.held and status in (io.Status.RESET, io.Status.CONNECT_FAILED):
                     self.engines.release(record.held.server, record)
+                if status is not io.Status.CONNECT_FAILED:
+                    record.held_at = self.now()
                 if status is io.Status.OK:  # It ended well without a token: not an answer.
                     status = io.Status.ERROR
                 if lost:
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -78,6 +78,8 @@
     """The server whose state it fetches, if any."""
     state_bytes: int = 0
     """Bytes of that state that have come."""
+    connect_by: int = 0
+    """When a connection for it must be up, lest the state that it comes for be held for too long; 0: no such time."""
 
 
 @dataclass(slots=True)
@@ -116,6 +118,8 @@
     attempts: int = 0
     out: Attempt | None = None
     held: Held | None = None
+    held_at: int = 0
+    """When the attempt ended that last reached an engine: since then the state has been held with none out."""
     holding: int | None = None
     """The server at which a place was asked for."""
     untold: int = 0
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -239,6 +239,7 @@
         exchange = Exchange(inbound.method, inbound.target, [
             ("host", pool.address), ("x-call-id", inbound.call_id), ("x-budget", f"{timeout / 1e6:.3f}"), *inbound.fields],
             inbound.body)
+        exchange.connect_by = attempt.connect_by
         made = _Attempt(self, record, attempt, exchange)
         pool.send(exchange)
         return made
@@ -250,7 +251,7 @@
         self._release(f"/bootstrap/rooms/{inbound.call_id}", server, _RELEASE_TRIES, frozenset())
 
     def _release(self, path: str, server: int, tries: int, tried: frozenset[int]) -> None:
-        """One try; the next one goes to another engine, one that is connected first."""
+        """One try; the next one goes to another engine, to the one heard from last of those that are connected."""
         pool = self._pool(server)
         if pool is None or len(self._releases) >= _MOST_RELEASES:
             self._again(path, server, tries, tried)
@@ -274,8 +275,8 @@
             self.unreleased += 1
             log.warning("not let go", path=path, tried=len(tried))
             return
-        connected = [s for s in others if (pool := self.pools.get(s)) and pool.idle]
-        self._release(path, (connected or others)[0], tries - 1, tried)
+        heard = {s: pool.heard_at for s in others if (pool := self.pools.get(s)) and pool.idle}
+        self._release(path, max(heard, key=heard.__getitem__) if heard else others[0], tries - 1, tried)
 
     # -- what this protocol has no word for
 
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -17,6 +17,7 @@
 from enum import Enum
 from typing import Any
 
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Answer, ClientSide, Done, Fields, Part, Wrong
 
 __all__ = ["ClientOptions", "Connections", "Exchange", "How", "Pool"]
@@ -59,8 +60,8 @@
 class Exchange:
     """One request. Callbacks run at once and must not wait."""
 
-    __slots__ = ("_link", "_paused", "body", "fields", "lone", "method", "on_data", "on_end", "on_head", "open", "spoilt",
-                 "status", "target")
+    __slots__ = ("_link", "_paused", "body", "connect_by", "fields", "lone", "method", "on_data", "on_end", "on_head", "open",
+                 "spoilt", "status", "target")
 
     def __init__(self, method: str, target: str, fields: Fields, body: bytes = b"") -> None:
         self.method, self.target, self.fields, self.body = method, target, fields, body
@@ -68,9 +69,11 @@
         self.on_data: Callable[[bytes], None] = _nothing
         self.on_end: Callable[[How, str], None] = _nothing
         self.open, self.status = True, 0
+        self.connect_by = 0
+        """Microseconds on the node's clock until which it waits for a connection; 0: as long as any exchange does."""
         self.spoilt = self.lone = False
         """Of one that broke: what came can't be read; only its own connection has ended, which had been kept and brought
-        nothing for it, or beside which others to the same address stand."""
+        nothing for it, or beside which others to the same address stand, or was not waited for in full."""
         self._link: _Link | None = None
         self._paused = False
 
@@ -136,6 +139,7 @@
             self.transport.pause_reading()
 
     def data_received(self, data: bytes) -> None:
+        self.pool.heard_at = self.pool.loop.time()
         exchange = self.exchange
         if exchange is None:  # Nobody asked for it.
             self.drop("unasked")
@@ -230,6 +234,8 @@
         self.idle: list[_Link] = []
         """Connections without an exchange, the one used last at the end."""
         self.links: set[_Link] = set()
+        self.heard_at = 0.0
+        """When something last came from there, on the loop's clock."""
         self._tasks: dict[asyncio.Task[None], Exchange] = {}
         self._closed = False
         connections.pools.append(self)
@@ -256,11 +262,14 @@
     async def _connect(self, exchange: Exchange) -> None:
         host, _, port = self.address.rpartition(":")
         link = _Link(self)
+        left = self.options.connect_timeout
+        if exchange.connect_by:
+            left = min(left, max(exchange.connect_by - now_us(), 0))
         try:
-            await asyncio.wait_for(self.loop.create_connection(lambda: link, host.strip("[]"), int(port)),
-                                   self.options.connect_timeout / 1e6)
+            await asyncio.wait_for(self.loop.create_connection(lambda: link, host.strip("[]"), int(port)), left / 1e6)
         except (OSError, ValueError) as error:  # a time-out is an OSError too
             self.connections.give()
+            exchange.lone = isinstance(error, TimeoutError) and left < self.options.connect_timeout
             exchange.ended(How.CONNECT, f"connect: {error or 'timed out'}")
             return
         except asyncio.CancelledError:
