A prefix has three homes, and more only where it comes again and again

Line at fault: brain._pick_reader, homes as a fixed share of the readers.

Now: three (those among which a request spills), and more by the part of requests that came again with the prefix, as seen by this node, with as many pretended strangers before as the fading spans; at most the former share.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -7,6 +7,7 @@
 from helpers import BOTH, MS, READ, WRITE, S, World, fleet, none, only, server, world
 
 from tuliptrack.interface import ClientGone, Effect, Refuse, Request, Role, Send, Server, Started, Status
+from tuliptrack.state import PREFIXES_KEPT, Asked
 
 NODES = 200
 
@@ -30,13 +31,35 @@
 
 
 def test_a_session_is_read_at_one_home_from_every_node_and_a_hot_prefix_at_a_share_of_the_readers() -> None:
-    servers = fleet(readers=30, writers=5)
-    homes = {session: {only(Send, w.ask(session=session)[1]).server for w in nodes(servers, 20)}
-             for session in range(1, 40)}
+    asking = nodes(fleet(readers=30, writers=5), 20)
+    homes = {session: {only(Send, w.ask(session=session)[1]).server for w in asking} for session in range(1, 40)}
     assert all(len(at) == 1 for at in homes.values())
     assert 4 <= len(set.union(*homes.values())) <= 10, "a few of thirty, but not one"
 
 
+def test_a_prefix_that_seldom_comes_has_three_homes_whichever_node_asks() -> None:
+    """Kept at a share of the readers, each of hundreds of prefixes is read anew at twenty and pushes others out of memory."""
+    servers = fleet(readers=60, writers=5)
+    homes: dict[int, set[int]] = {prefix: set() for prefix in range(1, 9)}
+    for number, w in enumerate(nodes(servers, 30)):
+        for prefix, at in homes.items():
+            at.add(only(Send, w.ask(prefix=prefix, session=100 * number + prefix)[1]).server)
+    assert all(len(at) == 3 for at in homes.values()), homes
+    hot = {only(Send, nodes(servers, 1)[0].ask(prefix=7, session=n)[1]).server for n in range(90)}
+    assert hot == homes[7], "the same three"
+
+
+def test_a_prefix_is_hot_by_its_part_of_what_came_and_nothing_grows_without_end() -> None:
+    asked = Asked()
+    assert asked.part(1) == 0.0
+    asked.note(0, 100.0, 10.0, 0.05, prefix=1)
+    assert asked.part(1) == 0.0, "one request says nothing"
+    for n in range(2, 5_000):
+        asked.note(0, 100.0, 10.0, 0.05, prefix=7 if n % 3 == 0 else 1_000 + n)
+    assert 0.1 < asked.part(7) < 1 / 3 and asked.part(1) == asked.part(1_000 + 4_999) == 0.0
+    assert len(asked._prefixes) <= PREFIXES_KEPT
+
+
 def test_few_nodes_keep_one_home() -> None:
     homes = {only(Send, world(fleet(readers=8)).ask(session=session)[1]).server for session in range(1, 40)}
     assert len(homes) == 1
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -24,7 +24,8 @@
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, the last home counted
-HOME_SHARE = 0.28  # share of the readers that are a prefix's homes where nodes see little of their queues
+HOME_SHARE = 0.28  # at most this share of the readers are a prefix's homes: nodes see little of their queues
+HOT_SPARE = 2.0  # times a prefix's part of what this node was asked is its homes' part of the readers
 CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
 ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
@@ -141,7 +142,7 @@
         aim = cls.aim + int(cls.aim_per_1000_tokens * request.prompt_tokens / 1000)
         flight = Flight(request, cls, self.now + request.time_left, aim, request.prompt_tokens + answer)
         self.flights[request.id] = flight
-        self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING)
+        self.asked.note(request.cls, flight.unread, answer, ASKED_SMOOTHING, request.prefix)
         over = self._over_share(request) or request.over_budget
         worth = cls.worth * (self.settings.over_share_worth if over else 1.0)
         tier = LOW_TIER if worth < self.low_worth else TOP_TIER if worth >= self.top_worth else 1.0
@@ -187,8 +188,7 @@
         saved, since = self.quota.get(request.tenant, (most, self.now))
         saved = min(saved + rate * (self.now - since) / 1e6, most)
         over = saved < 1
-        free = over or request.repeat or request.resumed
-        self.quota[request.tenant] = (saved if free else saved - 1, self.now)
+        self.quota[request.tenant] = (saved - (not (over or request.repeat or request.resumed)), self.now)
         return over
 
     def _outlook(self, flight: Flight, reader: Seat | None) -> float:
@@ -218,7 +218,8 @@
         request, order = flight.request, self._order(flight)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
         own = (sum(not self._abroad(s) for s in order) if self.zones else 0) or len(order)
-        count = max(1, int(HOME_SHARE * self.unseen * own)) if request.prefix else 1
+        wanted = max(SPILL_HOMES, HOT_SPARE * self.asked.part(request.prefix) * own)
+        count = max(1, int(min(HOME_SHARE * self.unseen * own, wanted))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
             return None
