Two nodes restarted in turn under load, as processes: all that is taken is answered

The issue asks for it: slow readers, a hung writer, then all of them hung as the kill nears, clients that keep connections and come again at once, SIGKILL as soon as the platform may.

The tests' processes wrote their logs into a pipe that nobody read; one that filled it stood still. It is read now.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
 import json
 import os
 import re
 import signal
 import sys
 import tomllib
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -381,9 +384,12 @@
 """
 
 
-async def _node(p: Platform, path: Path) -> tuple[asyncio.subprocess.Process, str]:
+_DRAINING: set[asyncio.Future[bytes]] = set()
+
+
+async def _node(p: Platform, path: Path, **told: Any) -> tuple[asyncio.subprocess.Process, str]:
     """The deploy file's `run` as the platform starts it, before the same engines; what the platform refuses ends it."""
-    path.write_text(_told(p, p.agent.address))
+    path.write_text(_told(p.agent.address, **told))
     (path.parent / "sitecustomize.py").write_text(REFUSED)
     line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(".venv/bin/python", sys.executable)
     process = await asyncio.create_subprocess_exec(
@@ -392,16 +398,16 @@
     assert process.stderr
     while line := (await process.stderr.readline()).decode():
         if "serving" in line:
+            _DRAINING.add(draining := asyncio.ensure_future(process.stderr.read()))  # A full pipe would stop the node.
+            draining.add_done_callback(_DRAINING.discard)
             return process, line.split("address=")[1].split()[0]
     raise AssertionError("it never served")
 
 
-def _told(p: Platform, agent: str) -> str:
-    from relay_world import SETTINGS
-
+def _told(agent: str, **told: Any) -> str:
     return json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": agent, "seed": "1", "settings": SETTINGS,
                        "limits": {"memory_mb": 128, "sockets": 256},
-                       "known": {"revision": 0, "complete": True, "members": []}})
+                       "known": {"revision": 0, "complete": True, "members": []}, **told})
 
 
 def test_signals_bring_new_settings_and_an_end_that_loses_nothing(tmp_path: Path) -> None:
@@ -424,7 +430,7 @@
             path.write_text("{ not whole")  # a bad file changes nothing
             process.send_signal(signal.SIGHUP)
             await asyncio.sleep(0.1)
-            path.write_text(_told(p, other.address))
+            path.write_text(_told(other.address))
             process.send_signal(signal.SIGHUP)
             await until(lambda: bool(other.seen))
             reader, writer = await asyncio.open_connection(host, int(port))
@@ -456,6 +462,100 @@
     run(go)
 
 
+def test_two_nodes_restarted_in_turn_under_load_answer_all_that_they_take(tmp_path: Path) -> None:
+    """Slow readers, and a writer that hangs, then all of them; each node is killed as soon after SIGTERM as the platform may.
+    Clients keep their connections for as long as these stay open, and come again at once."""
+    deadline, load, hanging = 2.0, 6, 1.4  # seconds; clients; seconds before the kill from which on all writers hang
+    killed = deadline + 0.7  # the platform's: the longest deadline, and so much more
+
+    async def go() -> None:
+        async def slowly(one: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.05 if one.method == "POST" else 0.0)
+            await reads(one, writer)
+
+        async def hung(one: Seen, writer: asyncio.StreamWriter) -> None:
+            await (hangs if one.method == "POST" else reads)(one, writer)
+
+        async with platform(r0=slowly, r1=slowly, w0=writes, w1=writes, w2=hung) as p:
+            classes = [{**SETTINGS["classes"][0], "deadline": int(deadline * 1e6)}]
+            told = {"settings": {**SETTINGS, "classes": classes}}
+            paths = [tmp_path / name / "config.json" for name in ("n0", "n1")]
+            for path in paths:
+                path.parent.mkdir()
+            nodes = [await _node(p, path, **told) for path in paths]
+            over = asyncio.Event()
+            got: list[int] = []
+            lost: list[str] = []
+            crossed = 0
+
+            async def connect(first: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+                for turn in range(2_000):
+                    host, _, port = nodes[(first + turn) % 2][1].rpartition(":")
+                    try:
+                        return await asyncio.open_connection(host, int(port))
+                    except OSError:
+                        await asyncio.sleep(0.005)
+                raise AssertionError("no node takes a connection")
+
+            async def client(number: int) -> None:
+                nonlocal crossed
+                reader, writer = await connect(number)
+                fresh = True
+                for turn in itertools.count():
+                    if over.is_set():
+                        break
+                    call_id = f"k{number}-{turn}"
+                    for again in range(2):
+                        with contextlib.suppress(OSError):
+                            writer.write(request(call_id, budget=f"{deadline - 0.2:.3f}"))
+                        reply = await asyncio.wait_for(read_reply(reader), 2 * deadline)
+                        if reply.status or fresh:
+                            break
+                        crossed += 1  # A kept connection closed just then: the platform's clients send once more.
+                        writer.close()
+                        reader, writer = await connect(number + turn + again)
+                        fresh = True
+                    got.append(reply.status)
+                    if not reply.status:
+                        lost.append(call_id)
+                    fresh = not reply.status or reply.head.get("connection") == "close" or not reply.whole
+                    if fresh:
+                        writer.close()
+                        reader, writer = await connect(number + turn)
+                writer.close()
+
+            clients = [asyncio.ensure_future(client(number)) for number in range(load)]
+            await until(lambda: len(got) > 4 * load)
+            for number in (0, 1):
+                process, address = nodes[number]
+                process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(killed - hanging)  # What comes now is to be answered before the kill all the same.
+                for name in ("w0", "w1"):
+                    p.engines[name].script = hung
+                await asyncio.sleep(hanging)
+                for name in ("w0", "w1"):
+                    p.engines[name].script = writes
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
+                nodes[number] = await _node(p, paths[number], **told, listen=address)
+                since = len(got)
+                await until(lambda since=since: len(got) > since + 4 * load)  # type: ignore[misc]
+            over.set()
+            await asyncio.gather(*clients)
+            for process, _ in nodes:
+                process.kill()
+                await process.wait()
+            assert not lost, "taken, and never answered"
+            assert crossed == 0, "closed with a request on its way"
+            assert set(got) <= {200, 429, 502, 503, 504} and got.count(200) > 4 * load, Counter(got)
+            for name in ("w0", "w1", "w2"):
+                ids = [one.call_id for one in p.engines[name].asked()]
+                assert len(ids) == len(set(ids)), "the same request twice at one writer"
+
+    run(go, 60)
+
+
 @pytest.mark.parametrize(("change", "field"), [
     ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"settings": {"classes": 3}}, "settings"),
     ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": 7}, "known")])
