What is known elsewhere is asked for: a request's effect, a call's time, a prefix's fading

Read through once more, no behaviour changed. Whether a request may have run was kept in the core beside the router's own record of it, with a second list of the outcomes that prove it did not; Core.cut asks the router's flight now. Discovery worked out its call's time in two places. Asked kept the weight that its caller gives. The waits of a stop guarded against a negative time that nobody passes. Not played on sockets.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -51,12 +51,12 @@
 
 def test_a_prefix_is_hot_by_its_part_of_what_came_and_nothing_grows_without_end() -> None:
     asked = Asked()
-    assert asked.part(1) == 0.0
+    assert asked.part(1, 0.05) == 0.0
     asked.note(0, 100.0, 10.0, 0.05, prefix=1)
-    assert asked.part(1) == 0.0, "one request says nothing"
+    assert asked.part(1, 0.05) == 0.0, "one request says nothing"
     for n in range(2, 5_000):
         asked.note(0, 100.0, 10.0, 0.05, prefix=7 if n % 3 == 0 else 1_000 + n)
-    assert 0.1 < asked.part(7) < 1 / 3 and asked.part(1) == asked.part(1_000 + 4_999) == 0.0
+    assert 0.1 < asked.part(7, 0.05) < 1 / 3 and asked.part(1, 0.05) == asked.part(1_000 + 4_999, 0.05) == 0.0
     assert len(asked._prefixes) <= PREFIXES_KEPT
 
 
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -218,7 +218,7 @@
         request, order = flight.request, self._order(flight)
         # Few nodes see their homes' queues and spill in time; of many, each sees next to nothing of them.
         own = (sum(not self._abroad(s) for s in order) if self.zones else 0) or len(order)
-        wanted = max(SPILL_HOMES, HOT_SPARE * self.asked.part(request.prefix) * own)
+        wanted = max(SPILL_HOMES, HOT_SPARE * self.asked.part(request.prefix, ASKED_SMOOTHING) * own)
         count = max(1, int(min(HOME_SHARE * self.unseen * own, wanted))) if request.prefix else 1
         seats = self._pool(order, flight, count + SPILL_HOMES - 1)
         if not seats:
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -30,7 +30,6 @@
 
 log = structlog.get_logger("node")
 _HAIR = 1_000  # microseconds by which a timer may fire early
-_NEVER_RAN = (io.Status.FULL, io.Status.CONNECT_FAILED, io.Status.MOOT)
 _MAY_HAVE_READ = (io.Status.CANCELLED, io.Status.TIMEOUT, io.Status.RESET)
 
 
@@ -375,7 +374,6 @@
                 self._answer_failed(record, Failure.BROKEN, f"the stream broke: {ended.reason or status.value}")
         elif record.held and record.held.server == attempt.server and status is io.Status.OK:
             status = io.Status.READ  # Its client has left meanwhile; the state is to be let go.
-        record.may_have_run |= not attempt.reading and status not in _NEVER_RAN
         crossed = self.crossed(record, attempt, ended)
         if attempt.reading and record.held is None and status in _MAY_HAVE_READ:
             self.engines.release(attempt.server, record)  # The read may have ended as it broke off.
@@ -499,7 +497,9 @@
                 self._break(record, Failure.BROKEN, reason, io.Status.CANCELLED)
                 continue
             cls = self.settings.classes[self.classes[record.ask.request_class]]
-            if (record.state is State.WRITING or record.may_have_run) and cls.effect is not io.Effect.SAFE:
+            flight = record.router.flights.get(record.id)
+            may_have_run = record.state is State.WRITING or (flight is not None and flight.effect is not None)
+            if may_have_run and cls.effect is not io.Effect.SAFE:
                 self._answer_failed(record, Failure.LOST, reason)
             else:
                 self._answer_refused(record, reason, 0)
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -122,8 +122,6 @@
     """When the attempt ended that last reached an engine: since then the state has been held with none out."""
     holding: int | None = None
     """The server at which a place was asked for."""
-    may_have_run: bool = False
-    """An attempt at a writer has ended that may have had its effect."""
     untold: int = 0
     """Outcomes that the router has yet to hear of: it may still act on them, so the record stays."""
     next_index: int = 0
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -122,9 +122,9 @@
         self.stopping = server.last = True
         if self.settings.may_resume:
             self.hand_back()
-        await asyncio.sleep(min(max(killed, 0.0), _CLOSE_S - _CUT_S))
+        await asyncio.sleep(min(killed, _CLOSE_S - _CUT_S))
         self.cut(began + int(_FORGIVEN_S * 1e6))
-        await asyncio.sleep(min(max(killed, 0.0), _CUT_S))
+        await asyncio.sleep(min(killed, _CUT_S))
         await server.stop(grace)
         await self.source.close()
         self.end()
--- a/tuliptrack/relay/discovery.py
+++ b/tuliptrack/relay/discovery.py
@@ -137,7 +137,9 @@
         self.address, self.revision, self.tell = address, revision, tell
         self.grace = min(max(grace / 1e6, _GRACE_S[0]), _GRACE_S[1])
         """Seconds."""
-        self.options = ClientOptions(connect_timeout=int(self.grace * (_WATCH + _LATE) * 1e6), rest=0, body_bytes=16_777_216)
+        self.within = (_WATCH + _LATE) * self.grace
+        """Seconds that a call may take, its connection too."""
+        self.options = ClientOptions(connect_timeout=int(self.within * 1e6), rest=0, body_bytes=16_777_216)
         self._task: asyncio.Task[None] | None = None
         self._fetch = asyncio.Event()
 
@@ -174,7 +176,7 @@
                 wait = int(_WATCH * self.grace * 1e3)
                 path = "/api/targets" if whole else f"/api/targets?since={self.revision()}&timeout_ms={wait}"
                 try:
-                    self.tell(await self._get(pool, path, (_WATCH + _LATE) * self.grace))
+                    self.tell(await self._get(pool, path))
                     if not heard:
                         log.info("discovery heard again", address=address)
                     known = heard = True
@@ -187,7 +189,7 @@
         finally:
             await pool.close()
 
-    async def _get(self, pool: Pool, path: str, within: float) -> Any:
+    async def _get(self, pool: Pool, path: str) -> Any:
         """One answer's JSON; OSError where there is none (a time-out is one too), ValueError where it isn't JSON."""
         done: asyncio.Future[tuple[How, str]] = asyncio.get_running_loop().create_future()
         parts: list[bytes] = []
@@ -196,7 +198,7 @@
         exchange.on_end = lambda how, reason: None if done.done() else done.set_result((how, reason))
         pool.send(exchange)
         try:
-            how, reason = await asyncio.wait_for(done, within)
+            how, reason = await asyncio.wait_for(done, self.within)
         finally:
             exchange.cancel()
         if how is not How.ANSWER:
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -297,14 +297,12 @@
         self.by_class: dict[int, tuple[float, float]] = {}
         self._prefixes: dict[int, tuple[float, int]] = {}
         """Requests with a prefix, fading as others come, and how many had come in all at the last one."""
-        self._fade = 0.0
 
     def note(self, cls: int, prompt: float, answer: float, weight: float, prefix: int = 0) -> None:
         """Take one more request, of which the first ones weigh more. What is known of all starts at nil, so
         that each class looks heavy at first: twice, then half again what it is, and so on."""
         new = (prompt, answer)
         self.count += 1
-        self._fade = weight
         if prefix:
             seen, at = self._prefixes.pop(prefix, (0.0, 0))
             self._prefixes[prefix] = (seen * (1 - weight) ** (self.count - at) + 1, self.count)
@@ -314,15 +312,14 @@
         self.all = _toward(self.all, new, weight)
         self.by_class[cls] = _toward(self.by_class.get(cls, new), new, weight)
 
-    def part(self, prefix: int) -> float:
-        """The part of what was asked lately that had this prefix, 0 to 1. The first request with one says nothing of how
-        many there are, so only those that came again count; as many requests as the fading spans are taken to have come
-        before the first, each with another prefix, so that a node that has seen little does not call hot what came twice."""
+    def part(self, prefix: int, weight: float) -> float:
+        """The part of what was asked lately that had this prefix, 0 to 1; `weight` as in `note`. The first request with one
+        says nothing of how many there are, so only those that came again count; as many requests as the fading spans are
+        taken to have come before the first, each with another prefix, so that a node that has seen little does not call
+        hot what came twice."""
         seen, at = self._prefixes.get(prefix, (0.0, 0))
-        if not self._fade:
-            return 0.0
-        again = max(seen * (1 - self._fade) ** (self.count - at) - 1, 0.0)
-        return again * self._fade / (2 - (1 - self._fade) ** self.count)
+        again = max(seen * (1 - weight) ** (self.count - at) - 1, 0.0)
+        return again * weight / (2 - (1 - weight) ** self.count)
 
     def heaviness(self, cls: int, role: Role) -> float:
         """How many mean requests one of this class weighs: by its prompt at readers, by its answer at
