--- /dev/null
+++ b/tuliptrack/relay/releases.py
@@ -0,0 +1,220 @@
+"""Letting go of read states: a `DELETE` for a request, tried at one engine after another until one has confirmed it.
+
+Any engine that runs lets go of what is held for a request, wherever it is held. So a release does not depend on the engine
+that holds the state: with every step more engines are tried at once, those first that were heard from last, and a try whose
+connection is still coming up is not waited for. The time between two steps is a fixed part of the time that the settings
+allow (`within`): in that time `TRIES_AT_STEP` adds up to 19 tries. Past it the state is overdue, and tries go on at
+the pace of one step each `within`, until an engine confirms or `ABANDONED_AFTER_S` has passed.
+
+A read that was broken off may end well after a release was confirmed, so that a state comes to be held which nobody waits
+for. Such a release is made `UNSURE_ROUNDS` times, half of the time allowed apart.
+
+Bounds: `MOST_PENDING` releases, where the one that has waited for longest gives way to a new one; `MOST_TRIES` tries that
+are out at once, past which steps wait for their turn in the order in which they are due.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import structlog
+
+from tuliptrack.relay.pools import EnginePools
+from tuliptrack.rpc.http1_client import Exchange, How
+
+__all__ = ["UNSURE_ROUNDS", "Releases"]
+
+log = structlog.get_logger("releases")
+MOST_PENDING = 4_096
+MOST_TRIES = 512
+STEPS = 6  # within the time that the settings allow
+HURRY = 10  # part of the time between two steps that is left where all tries have failed
+TRIES_AT_STEP = (1, 2, 4)  # new tries with each step; the last figure holds for all further ones
+UNSURE_ROUNDS = 2
+ABANDONED_AFTER_S = 15.0  # outages of the network that were seen last half as long
+_PATH = "/bootstrap/rooms/"
+
+
+@dataclass(slots=True, eq=False)
+class _Release:
+    """What is to be let go for one request."""
+
+    call_id: str
+    holder: int
+    began: float
+    """On the loop's clock, in seconds."""
+    rounds: int
+    """Confirmations that are still wanted."""
+    step: int = 0
+    tries: dict[Exchange, int] = field(default_factory=dict)
+    """Tries that are out, and the engine of each."""
+    tried: set[int] = field(default_factory=set)
+    timer: asyncio.TimerHandle | None = None
+    queued: bool = False
+    """Its next step waits until fewer tries are out."""
+
+
+class Releases:
+    """What is yet to be let go, by the client's id of the request. `close` ends every try and timer."""
+
+    def __init__(self, pools: EnginePools, within: int) -> None:
+        """`within`: microseconds after which a state that no attempt waits for has to be let go."""
+        self.pools = pools
+        self.within = max(within / 1e6, 0.001)
+        self.abandoned = 0
+        """Releases that no engine has confirmed."""
+        self._pending: dict[str, _Release] = {}
+        """In the order in which they began, which is that in which they are due."""
+        self._queue: deque[_Release] = deque()
+        self._out: dict[Exchange, asyncio.TimerHandle] = {}
+        """Tries that are out, and when each is given up."""
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    def __len__(self) -> int:
+        return len(self._pending)
+
+    def begin(self, call_id: str, holder: int, rounds: int = 1) -> None:
+        """Let go of all that is held for a request; `holder` is the engine that most likely holds it."""
+        if pending := self._pending.get(call_id):
+            pending.rounds = max(pending.rounds, rounds)
+            return
+        if len(self._pending) >= MOST_PENDING:
+            self._abandon(next(iter(self._pending.values())))
+        release = _Release(call_id, holder, asyncio.get_running_loop().time(), rounds)
+        self._pending[call_id] = release
+        self._idle.clear()
+        self._advance(release)
+
+    def forget(self, call_id: str) -> None:
+        """Stop what was begun: a newer state is held for the same request, which a late try would let go."""
+        if release := self._pending.get(call_id):
+            self._end(release)
+
+    async def drained(self) -> None:
+        """Wait until nothing is pending, but no longer than the settings allow."""
+        try:
+            await asyncio.wait_for(self._idle.wait(), self.within)
+        except TimeoutError:
+            log.warning("releases left at the end", pending=len(self._pending))
+
+    def close(self) -> None:
+        """Give up whatever is pending."""
+        for release in list(self._pending.values()):
+            self._end(release)
+        for exchange in list(self._out):
+            exchange.cancel()
+
+    def _advance(self, release: _Release) -> None:
+        """The next step of a release: some more tries, and a timer for the step after it."""
+        release.timer, release.queued = None, False
+        loop = asyncio.get_running_loop()
+        waited = loop.time() - release.began
+        if waited >= ABANDONED_AFTER_S:
+            self._abandon(release)
+            return
+        room = MOST_TRIES - len(self._out)
+        if room <= 0:
+            release.queued = True
+            self._queue.append(release)
+            return
+        wanted = TRIES_AT_STEP[min(release.step, len(TRIES_AT_STEP) - 1)]
+        for server in self._targets(release, min(wanted, room)):
+            self._try(release, server)
+        release.step += 1
+        pause = self.within / STEPS if waited < self.within else self.within
+        release.timer = loop.call_later(pause, self._advance, release)
+
+    def _targets(self, release: _Release, wanted: int) -> list[int]:
+        """Engines to try next: at first the holder, then those with an open connection that were heard from last. A first
+        try that needs a connection has one beside it that does not."""
+        waiting = set(release.tries.values())
+        untried = [s for s in self.pools if s not in release.tried]
+        if not untried:
+            release.tried.clear()
+            untried = [s for s in self.pools if s not in waiting]
+        ranked = sorted(untried, key=self._rank, reverse=True)
+        if release.step or release.holder not in self.pools:
+            return ranked[:wanted]
+        connected = [s for s in ranked if s != release.holder and self._rank(s)[0]]
+        beside = [] if self._rank(release.holder)[0] else connected[:1]
+        return [release.holder, *beside]
+
+    def _rank(self, server: int) -> tuple[bool, float, float]:
+        """How good an engine is for a try: connected, then heard from lately, then by chance."""
+        pool = self.pools.made(server)
+        if pool is None:
+            return False, 0.0, random.random()
+        return bool(pool.idle), pool.heard_at, random.random()
+
+    def _try(self, release: _Release, server: int) -> None:
+        pool = self.pools.get(server)
+        if pool is None:
+            return
+        exchange = Exchange("DELETE", _PATH + release.call_id, [("host", pool.address)])
+        exchange.on_end = lambda how, reason: self._try_ended(release, exchange, how)
+        release.tries[exchange] = server
+        release.tried.add(server)
+        self._out[exchange] = asyncio.get_running_loop().call_later(self.within, exchange.cancel)
+        pool.send(exchange)
+
+    def _try_ended(self, release: _Release, exchange: Exchange, how: How) -> None:
+        self._out.pop(exchange).cancel()
+        if release.tries.pop(exchange, None) is not None:
+            if how is How.ANSWER and 200 <= exchange.status < 300:
+                self._confirmed(release)
+            elif not release.tries:
+                self._hurry(release)
+        while self._queue and len(self._out) < MOST_TRIES:
+            queued = self._queue.popleft()
+            if queued.queued:
+                self._advance(queued)
+
+    def _confirmed(self, release: _Release) -> None:
+        """An engine has let go: the release is over, or its next round begins later."""
+        release.rounds -= 1
+        if not release.rounds:
+            self._end(release)
+            return
+        self._stop(release)
+        release.step = 0
+        release.tried.clear()
+        release.timer = asyncio.get_running_loop().call_later(self.within / 2, self._next_round, release)
+
+    def _next_round(self, release: _Release) -> None:
+        self._pending[release.call_id] = self._pending.pop(release.call_id)  # It is due after all others now.
+        release.began = asyncio.get_running_loop().time()
+        self._advance(release)
+
+    def _hurry(self, release: _Release) -> None:
+        """All tries of a step have failed before the next one is due: within the time allowed it comes at once."""
+        loop = asyncio.get_running_loop()
+        if release.timer and loop.time() - release.began < self.within:
+            release.timer.cancel()
+            release.timer = loop.call_later(self.within / STEPS / HURRY, self._advance, release)
+
+    def _abandon(self, release: _Release) -> None:
+        self.abandoned += 1
+        log.warning("not let go", call_id=release.call_id, steps=release.step, pending=len(self._pending))
+        self._end(release)
+
+    def _end(self, release: _Release) -> None:
+        """Nothing more is to be done."""
+        self._pending.pop(release.call_id, None)
+        self._stop(release)
+        if not self._pending:
+            self._idle.set()
+
+    def _stop(self, release: _Release) -> None:
+        """No further step. A try that is on its way is left to its end, one that waits for a connection is not."""
+        release.queued = False
+        if release.timer:
+            release.timer.cancel()
+            release.timer = None
+        tries, release.tries = release.tries, {}
+        for exchange in tries:
+            if not exchange.sent:
+                exchange.cancel()
