Pass all end-to-end header fields on to engines, an idempotency key among them

The node's logs show nothing wrong, as the request was passed on; relay/front.py passed on seven named fields (_ONWARD) and no other. No settings name that field, and a proxy has no reason to drop it. Now all fields go on but those of one connection (RFC 9110, 7.6.1, and what Connection names) and the five that the node says anew. Values go out as the bytes they came as: one that isn't ASCII made a request unsendable.

--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -19,7 +19,10 @@
 _STATUS = {Failure.DEADLINE: 504, Failure.BROKEN: 502, Failure.HANDED_BACK: 502, Failure.LOST: 502, Failure.STALLED: 502,
            Failure.UNUSABLE: 400}
 _ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
-_ONWARD = ("content-type", "accept", "x-call-class", "x-caller", "x-route-hash", "x-again", "x-call-info")
+# What a request's head says of one connection only (RFC 9110, section 7.6.1), and what the node says anew.
+_HOP_BY_HOP = frozenset({"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+                         "proxy-authenticate", "proxy-authorization"})
+_SAID_ANEW = frozenset({"host", "x-call-id", "x-budget", "content-length", "expect"})
 _ONCE = ("x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-info")
 _LONGEST_S = 86_400.0  # a budget past a day is taken for a mistake
 _LEAST_ADVICE_S = 0.001
@@ -146,8 +149,14 @@
             info.get("prefix", ""), tokens, min(_count(info, "prefix_len"), tokens), _count(info, "max_out"),
             repeat=again == "1", connection=call.connection, first_by=_first_by(head.get("x-budget")),
             resumed=again == "again", left=call.left, payload=Inbound(
-                call_id, call.method, call.target, call.body,
-                [(name, value) for name, value in call.fields if name in _ONWARD]))
+                call_id, call.method, call.target, call.body, _end_to_end(call.fields)))
+
+
+def _end_to_end(fields: Fields) -> Fields:
+    """What engines get of a head unchanged: all but what is of one connection only, also by the word of `Connection`."""
+    named = {name.strip().lower() for field, value in fields if field == "connection" for name in value.split(",")}
+    left_out = _HOP_BY_HOP | _SAID_ANEW | named
+    return [(name, value) for name, value in fields if name not in left_out]
 
 
 def _check_body(body: bytes) -> None:
--- a/tuliptrack/rpc/h1.py
+++ b/tuliptrack/rpc/h1.py
@@ -181,7 +181,8 @@
         if body or method not in ("GET", "HEAD", "DELETE"):
             fields = [*fields, ("content-length", str(len(body)))]
         try:
-            head = self.http.send(h11.Request(method=method, target=target, headers=fields))
+            head = self.http.send(h11.Request(method=method, target=target, headers=[
+                (name.encode("ascii"), value.encode("latin-1")) for name, value in fields]))
             return b"".join((head or b"", self.http.send(h11.Data(data=body)) or b"" if body else b"",
                              self.http.send(h11.EndOfMessage()) or b""))
         except h11.LocalProtocolError as error:
