Releases of read states: tried at several engines at once, bounded by the settings

Now steps at a sixth of the time allowed, more engines with each, connected ones heard from last first; what still connects is not waited for. - Past 512 tries at once releases were given up unsent. Now a queue in order of due time, 4,096 at most. - The clock of a hold began anew after an attempt that may never have reached its engine (Core.attempt_over). It now goes on from the last end that an engine has answered; when the settings' time is over with an attempt out, a release is sent beside it, since a release spares what an attempt waits for. - A read broken off may end well after its release: such a release is made twice. A release not sent yet is stopped by a newer state. - The end of a process waited 0.15 s for releases and left attempts open where they may not be called off. A router's defect, and a 410 by word only, let nothing go. relay/pools.py is taken out of relay/engines.py; attempt_over becomes one small function for each state. The check on sockets of rule 5 drops the engine calls as its guard: what is held now goes also as a request leaves the table, so dropping the router's action alone no longer breaks the rule.

--- /dev/null
+++ b/tests/relay/test_releases.py
@@ -0,0 +1,247 @@
+"""Read states are let go in the time that the settings allow, judged by when engines got the releases.
+
+"In time" below is what the platform allows: the settings' time and 0.3 s more.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any, cast
+
+import pytest
+from relay_world import SETTINGS, Peer, Platform, Seen, hangs, platform, reads, request, writes
+from world import run, until
+
+from tuliptrack import interface as io
+from tuliptrack.node.core import key
+from tuliptrack.node.requests import Record
+
+ALLOWED_S = SETTINGS["specifics"]["letGoBy"] / 1e6
+IN_TIME_S = ALLOWED_S + 0.3
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+@dataclass
+class Timeline:
+    """When engines answered reads, and when they got releases, by request."""
+
+    read_at: dict[str, float] = field(default_factory=dict)
+    released_at: dict[str, list[float]] = field(default_factory=dict)
+
+    async def reader(self, one: Seen, writer: asyncio.StreamWriter) -> None:
+        """A reader that answers at once."""
+        if one.method == "DELETE":
+            self.note_release(one)
+        else:
+            self.read_at[one.call_id] = now()
+        await reads(one, writer)
+
+    async def deaf_to_releases(self, one: Seen, writer: asyncio.StreamWriter) -> None:
+        """A reader whose machine is cut off once it has read: a release to it is never answered and does not count."""
+        if one.method == "DELETE":
+            await hangs(one, writer)
+        await self.reader(one, writer)
+
+    async def hanging_writer(self, one: Seen, writer: asyncio.StreamWriter) -> None:
+        """A writer that takes requests and releases and never begins an answer."""
+        if one.method == "DELETE":
+            self.note_release(one)
+            await reads(one, writer)
+        await hangs(one, writer)
+
+    def note_release(self, one: Seen) -> None:
+        self.released_at.setdefault(one.target.rpartition("/")[2], []).append(now())
+
+
+class Mute(Peer):
+    """An engine whose machine has fallen silent: connections come up, and nothing on them is ever read."""
+
+    def __init__(self) -> None:
+        super().__init__(hangs)
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+
+    async def start(self) -> Peer:
+        self.address = "{}:{}".format(*self._listener.getsockname())
+        return self
+
+    async def stop(self) -> None:
+        self._listener.close()
+
+
+def release(p: Platform, call_id: str, engine: str) -> None:
+    """Let go of what one engine holds for a request that has ended."""
+    payload = SimpleNamespace(call_id=call_id)
+    record = SimpleNamespace(ask=SimpleNamespace(payload=payload))
+    p.relay.channels.release(key(engine), cast(Record, record))
+
+
+def test_a_state_is_let_go_in_time_where_the_attempt_that_came_for_it_never_reached_its_engine() -> None:
+    async def go() -> None:
+        line = Timeline()
+        async with platform(r0=line.reader, w0=Mute()) as p:
+            asking = asyncio.ensure_future(p.say(request("unheard")))
+            await until(lambda: "unheard" in line.released_at, 2.0)
+            assert line.released_at["unheard"][0] - line.read_at["unheard"] <= IN_TIME_S
+            asking.cancel()
+
+    run(go)
+
+
+def test_an_attempt_that_waits_for_its_state_is_not_given_up_by_that_release() -> None:
+    """Its writer is slow to begin; engines spare a state that an attempt waits for, so the answer comes."""
+    async def go() -> None:
+        line = Timeline()
+
+        async def slow_writer(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.method == "POST":
+                await asyncio.sleep(2 * ALLOWED_S)
+            await writes(one, writer)
+
+        async with platform(r0=line.reader, w0=slow_writer) as p:
+            reply = await p.say(request("slow"))
+            assert reply.status == 200 and reply.whole
+            assert len(p.engines["w0"].asked()) == 1
+            assert len(line.released_at["slow"]) == 1
+
+    run(go)
+
+
+def test_a_release_does_not_wait_for_one_silent_engine_after_another() -> None:
+    async def go() -> None:
+        line = Timeline()
+        deaf: dict[str, Any] = {f"r{n}": line.deaf_to_releases for n in range(6)}
+        async with platform(None, **deaf, w0=line.deaf_to_releases, w1=line.reader) as p:
+            began = now()
+            release(p, "stuck", "r0")
+            await until(lambda: "stuck" in line.released_at, 2.0)
+            assert line.released_at["stuck"][0] - began <= ALLOWED_S
+
+    run(go)
+
+
+def test_more_releases_at_once_than_may_be_tried_at_once_all_reach_an_engine() -> None:
+    async def go() -> None:
+        line = Timeline()
+        async with platform(r0=line.reader, w0=line.reader) as p:
+            wanted = {f"many-{n}" for n in range(700)}
+            for call_id in sorted(wanted):
+                release(p, call_id, "r0")
+            await until(lambda: set(line.released_at) == wanted, 5.0)
+
+    run(go)
+
+
+def test_a_release_that_is_repeated_spares_a_newer_state_of_its_request() -> None:
+    """The first read is given up on and let go of, to be sure more than once; the second one's state goes to a writer."""
+    async def go() -> None:
+        line = Timeline()
+        first: list[str] = []
+
+        async def silent_at_first(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.method == "POST" and not first:
+                first.append(one.call_id)
+                await hangs(one, writer)
+            await line.reader(one, writer)
+
+        async def later(one: Seen, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(0.8 * ALLOWED_S)
+            await writes(one, writer)
+
+        async with platform(r0=silent_at_first, r1=silent_at_first, w0=later) as p:
+            reply = await p.say(request("again"))
+            assert reply.status == 200 and reply.whole
+            assert line.released_at["again"][0] < line.read_at["again"]
+            assert line.released_at["again"][-1] < line.read_at["again"]
+
+    run(go)
+
+
+def test_a_read_that_ends_well_just_after_it_was_given_up_is_let_go_too() -> None:
+    async def go() -> None:
+        line = Timeline()
+
+        async def never_through(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.method == "POST":
+                await hangs(one, writer)
+            await line.reader(one, writer)
+
+        async with platform(r0=never_through, w0=writes) as p:
+            _, writer = await p.connect()
+            writer.write(request("crossing"))
+            await until(lambda: bool(p.engines["r0"].asked()))
+            left_at = now()
+            writer.close()
+            # The first release may be there before the read has ended: what that left is let go by a second one.
+            await until(lambda: len(line.released_at.get("crossing", [])) == 2, 2.0)
+            assert line.released_at["crossing"][1] - left_at <= IN_TIME_S
+
+    run(go)
+
+
+async def gone_410(one: Seen, writer: asyncio.StreamWriter) -> None:
+    if one.method == "DELETE":
+        await reads(one, writer)
+        return
+    writer.write(b"HTTP/1.1 410 Gone\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n")
+
+
+def test_a_state_that_is_only_said_to_be_gone_is_let_go_all_the_same() -> None:
+    async def go() -> None:
+        line = Timeline()
+        no_more_tries = {"settings": {"limits": {**SETTINGS["limits"], "mostTries": 2}}}
+        async with platform(no_more_tries, r0=line.reader, w0=gone_410) as p:
+            assert (await p.say(request("said"))).status == 503
+            await until(lambda: bool(line.released_at.get("said")), 2.0)
+
+    run(go)
+
+
+def test_what_a_failing_router_leaves_behind_is_let_go_and_its_books_are_closed() -> None:
+    async def go() -> None:
+        line = Timeline()
+        async with platform(r0=line.reader, w0=writes) as p:
+            handle = p.relay.router.handle
+
+            def fails(at: int, events: list[io.Event]) -> list[io.Action]:
+                if any(isinstance(event, io.Outcome) for event in events):
+                    raise RuntimeError("a defect")
+                return handle(at, events)
+
+            p.relay.router.handle = fails  # type: ignore[method-assign,assignment]
+            reply = await p.say(request("broken"))
+            assert reply.status == 502 and reply.whole
+            await until(lambda: "broken" in line.released_at, 2.0)
+            assert line.released_at["broken"][0] - line.read_at["broken"] <= IN_TIME_S
+
+    run(go)
+
+
+@pytest.mark.parametrize("changes", [
+    pytest.param({}, id="attempts may be called off"),
+    pytest.param({"settings": {"limits": {**SETTINGS["limits"], "cancel": False}}}, id="attempts may not be called off"),
+])
+def test_what_is_held_as_the_node_ends_is_let_go_before_it_is_gone(changes: dict[str, Any]) -> None:
+    async def go() -> None:
+        line = Timeline()
+
+        async def slow_to_take(one: Seen, writer: asyncio.StreamWriter) -> None:
+            if one.method == "DELETE":
+                await asyncio.sleep(ALLOWED_S / 2)
+            await line.hanging_writer(one, writer)
+
+        async with platform(changes, r0=line.deaf_to_releases, w0=slow_to_take) as p:
+            _, writer = await p.connect()
+            writer.write(request("open"))
+            await until(lambda: bool(p.engines["w0"].asked()))
+            p.relay.front.server.cut_short()
+            await p.relay.stop(0.0, 0.0)
+            assert "open" in line.released_at
+            assert now() - line.read_at["open"] < 2.0
+
+    run(go)
--- a/tests/relay/test_view.py
+++ b/tests/relay/test_view.py
@@ -50,7 +50,7 @@
                 router = core.router
                 books = {(number, seat.info.id) for seat in router.seats.values() for number in (*seat.open, *seat.running)}
                 out = {record.id: record.out for record in core.table.open.values() if record.out}
-                pools = [*engines.pools.values(), *engines._old]
+                pools = engines.pools.all()
                 on_links = {link.exchange for pool in pools for link in pool.links if link.exchange}
                 coming_up = {exchange for pool in pools for exchange in pool._tasks.values()}
                 carried = {exchange for exchange in on_links | coming_up if exchange.open and exchange.method == "POST"}
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -111,7 +111,7 @@
 
 
 def releases_dropped(w: World, patch: pytest.MonkeyPatch) -> None:
-    patch.setitem(w.node._acts, io.Release, lambda action: None)
+    patch.setattr(w.node.engines, "release", lambda server, record, unsure=False: None)
 
 
 def tokens_not_counted(w: World, patch: pytest.MonkeyPatch) -> None:
--- a/tuliptrack/node/calls.py
+++ b/tuliptrack/node/calls.py
@@ -50,7 +50,9 @@
 
 
 class GrpcEngines:
-    """See `node/port.py`; the channels are `Engines`'."""
+    """See `node/port.py`; the channels are `Engines`'. A state that nobody takes is let go by its engine's own lease."""
+
+    release_spares_claimed = False
 
     def __init__(self, core: Core, channels: Engines) -> None:
         self.core, self.channels = core, channels
@@ -79,7 +81,7 @@
         status = outcome_of(end)
         lost = status is io.Status.FULL and end.status.code is Code.FAILED_PRECONDITION
         self.core.attempt_over(record, attempt, Ended(
-            status, end.status.message, lost, load_of(end, attempt.server), detail=end))
+            status, end.status.message, lost, load_of(end, attempt.server), received=end.how is How.STATUS, detail=end))
 
     def _work(self, record: Record, attempt: Attempt) -> engine_pb2.Work:
         ask = record.ask
@@ -133,19 +135,25 @@
         """No token reaches a client twice, out of turn, or after the last one."""
         return message.index == record.next_index and not record.finish
 
-    def release(self, server: int, record: Record, again: bool = True) -> None:
+    def release(self, server: int, record: Record, unsure: bool = False) -> None:
         """Tell an engine to let go of what it holds; once more where that call broke."""
+        self._release(server, record, again=True)
+
+    def _release(self, server: int, record: Record, again: bool) -> None:
         channel = self.channels.channel(server)
         if channel is None:
             return
 
         def ended(end: End) -> None:
             if again and end.how is How.RESET:
-                self.release(server, record, again=False)
+                self._release(server, record, again=False)
 
         request = engine_pb2.ReleaseRequest(request_id=record.name)
         channel.call(ENGINE + "Release", message=request.SerializeToString(), timeout=_SHORT_CALL, on_end=ended)
 
+    def cancel_release(self, record: Record) -> None:
+        """A call that is out names the request, not a state: it is left to its end."""
+
     def hold(self, server: int, record: Record, attempt: Attempt) -> None:
         channel, got = self.channels.channel(server), list[bytes]()
         if channel is None:
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -54,6 +54,14 @@
     """How long a begun stream may bring nothing."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Told:
+    """What the router is told of an attempt's end."""
+
+    status: io.Status
+    state_lost: bool
+
+
 class _Ticket:
     """A front's hold on one request."""
 
@@ -162,6 +170,8 @@
         record = self.table.open.get(request)
         if record and record.end(State.FAILED, "internal"):
             record.answer.failed(Failure.LOST, "internal", record.next_index)
+            self._release_held(record)
+            self.tell(io.ClientGone(request), record.router)  # Its books are closed, if it still can.
             if record.out and record.out.call:
                 record.out.call.cancel(io.Status.CANCELLED)
             self._settle(record)
@@ -324,7 +334,9 @@
     def read(self, record: Record, attempt: Attempt, held: Held, kept: int) -> None:
         """The prompt has been read: `held` waits there, `kept` tokens of it needed no reading."""
         record.cached_tokens = max(0, min(kept, record.ask.prompt_tokens))
-        record.held, record.held_at = held, self.now()
+        record.held = held
+        self.engines.cancel_release(record)  # One that is under way would let go of this state.
+        self._restart_hold(record)
 
     def answers(self, record: Record, attempt: Attempt) -> bool:
         """A part of the answer has come; True where it is to be passed on. With the first one the stream has begun."""
@@ -334,7 +346,8 @@
         if record.state is State.WRITING:
             self._cancel_timer(attempt)
             record.go(State.STREAMING)
-            record.held = None
+            self._drop_hold(record)
+            self.engines.cancel_release(record)  # With its first token an answer has taken what was held.
             record.first_token_at = now
             self.began(record)
             self.tell(io.Started(record.id, attempt.number, attempt.server, now - attempt.sent))
@@ -356,6 +369,43 @@
             attempt.timer.cancel()
             self._timers.discard(attempt.timer)
 
+    # -- held states
+
+    def _restart_hold(self, record: Record) -> None:
+        """A state is held, and from now on possibly without an attempt that waits for it."""
+        self._stop_hold_timer(record)
+        record.held_at, record.release_asked = self.now(), False
+        if self.engines.release_spares_claimed:
+            record.hold_timer = asyncio.get_running_loop().call_later(
+                self.settings.release_within / 1e6, self._hold_overdue, record)
+
+    def _hold_overdue(self, record: Record) -> None:
+        """The settings' time for a state without an attempt is over. Whether the attempt that is out has reached its engine
+        can't be known before that answers. A release is right in both cases: it spares what an attempt waits for."""
+        record.hold_timer = None
+        if record.held:
+            record.release_asked = True
+            self.engines.release(record.held.server, record)
+
+    def _drop_hold(self, record: Record) -> None:
+        """Nothing is held for a request any more, as far as this node has to do with it."""
+        self._stop_hold_timer(record)
+        record.held = None
+
+    def _stop_hold_timer(self, record: Record) -> None:
+        if record.hold_timer:
+            record.hold_timer.cancel()
+            record.hold_timer = None
+
+    def _release_held(self, record: Record) -> None:
+        """Let go of the state that is held for a request, if there is one."""
+        if record.held:
+            server = record.held.server
+            self._drop_hold(record)
+            self.engines.release(server, record)
+
+    # -- ends of attempts
+
     def attempt_over(self, record: Record, attempt: Attempt, ended: Ended) -> None:
         """An attempt has ended: the router is told, and the client where its stream is over with it."""
         if record.out is not attempt:
@@ -363,46 +413,66 @@
         self._cancel_timer(attempt)
         record.out = None
         record.untold += 1
-        status, lost = ended.status, ended.state_lost
         latency = self.now() - attempt.sent
-        if ended.unusable:
-            self._answer_failed(record, Failure.UNUSABLE, ended.reason)
-        elif not record.ended:
-            if attempt.reading:
-                if status is io.Status.OK:
-                    status = io.Status.READ if record.held else io.Status.ERROR
-                    record.reads += status is io.Status.READ
-                record.go(State.HELD if status is io.Status.READ else State.TAKEN)
-            elif record.state is State.WRITING:
-                # A state is held on while one connection after another fails to come up. Past the time that it may be held
-                # without an attempt, it is let go, and the prompt read anew.
-                lost = lost or (status is io.Status.CONNECT_FAILED and 0 < attempt.connect_by <= self.now() + _HAIR)
-                if lost and record.held and status in (io.Status.RESET, io.Status.CONNECT_FAILED):
-                    self.engines.release(record.held.server, record)
-                if status is not io.Status.CONNECT_FAILED:
-                    record.held_at = self.now()
-                if status is io.Status.OK:  # It ended well without a token: not an answer.
-                    status = io.Status.ERROR
-                if lost:
-                    record.held = None
-                record.go(State.HELD if record.held else State.TAKEN)
-            elif record.finish:
-                status = io.Status.OK
-                if record.end(State.SERVED, record.finish.value):
-                    record.answer.served()
-            else:
-                status = io.Status.ERROR if status is io.Status.OK else status
-                self._answer_failed(record, Failure.BROKEN, f"the stream broke: {ended.reason or status.value}")
-        elif record.held and record.held.server == attempt.server and status is io.Status.OK:
-            status = io.Status.READ  # Its client has left meanwhile; the state is to be let go.
+        told = self._after_attempt(record, attempt, ended)
         crossed = self.crossed(record, attempt, ended)
-        if attempt.reading and record.held is None and status in _MAY_HAVE_READ:
-            self.engines.release(attempt.server, record)  # The read may have ended as it broke off.
-        self.tell(io.Outcome(record.id, attempt.number, attempt.server, status, latency, record.ended,
-                             record.cached_tokens if status in (io.Status.OK, io.Status.READ) else 0, lost,
-                             ended.load, crossed, ended.lone))
+        if attempt.reading and record.held is None and told.status in _MAY_HAVE_READ:
+            self.engines.release(attempt.server, record, unsure=True)  # The read may have ended as it broke off.
+        read = record.cached_tokens if told.status in (io.Status.OK, io.Status.READ) else 0
+        self.tell(io.Outcome(record.id, attempt.number, attempt.server, told.status, latency, record.ended, read,
+                             told.state_lost, ended.load, crossed, ended.lone))
         self._settle(record)
 
+    def _after_attempt(self, record: Record, attempt: Attempt, ended: Ended) -> _Told:
+        """Bring the request's state up to the end of its attempt; what the router is to be told of it."""
+        if ended.unusable:
+            self._answer_failed(record, Failure.UNUSABLE, ended.reason)
+            return _Told(ended.status, ended.state_lost)
+        if record.ended:
+            return self._after_end(record, attempt, ended)
+        if attempt.reading:
+            return self._after_read(record, ended)
+        if record.state is State.WRITING:
+            return self._after_no_token(record, attempt, ended)
+        return self._after_stream(record, ended)
+
+    def _after_end(self, record: Record, attempt: Attempt, ended: Ended) -> _Told:
+        """The request had ended before its attempt. A read that ended well has left a state, which is to be let go."""
+        read = record.held is not None and record.held.server == attempt.server and ended.status is io.Status.OK
+        return _Told(io.Status.READ if read else ended.status, ended.state_lost)
+
+    def _after_read(self, record: Record, ended: Ended) -> _Told:
+        """An attempt at a reader is over."""
+        status = ended.status
+        if status is io.Status.OK:
+            status = io.Status.READ if record.held else io.Status.ERROR
+        record.reads += status is io.Status.READ
+        record.go(State.HELD if status is io.Status.READ else State.TAKEN)
+        return _Told(status, ended.state_lost)
+
+    def _after_no_token(self, record: Record, attempt: Attempt, ended: Ended) -> _Told:
+        """An attempt at a writer is over without a token. The state is held on, as long as the settings allow: while one
+        connection after another fails to come up its time runs, and past it the prompt is read anew."""
+        status = io.Status.ERROR if ended.status is io.Status.OK else ended.status
+        overdue = status is io.Status.CONNECT_FAILED and 0 < attempt.connect_by <= self.now() + _HAIR
+        lost = ended.state_lost or overdue
+        if lost:
+            self._release_held(record)  # Also where it is said to be gone: the word may be wrong.
+        elif record.held and (ended.received or record.release_asked):
+            self._restart_hold(record)
+        record.go(State.HELD if record.held else State.TAKEN)
+        return _Told(status, lost)
+
+    def _after_stream(self, record: Record, ended: Ended) -> _Told:
+        """An attempt whose answer had begun is over."""
+        if record.finish:
+            if record.end(State.SERVED, record.finish.value):
+                record.answer.served()
+            return _Told(io.Status.OK, ended.state_lost)
+        status = io.Status.ERROR if ended.status is io.Status.OK else ended.status
+        self._answer_failed(record, Failure.BROKEN, f"the stream broke: {ended.reason or status.value}")
+        return _Told(status, ended.state_lost)
+
     def _break(self, record: Record, how: Failure, reason: str, status: io.Status) -> None:
         """End a stream that has begun, from our side."""
         out = record.out
@@ -443,9 +513,7 @@
         record = self.table.open.get(action.id)
         if record is None:
             return
-        if record.held:
-            server, record.held = record.held.server, None
-            self.engines.release(server, record)
+        self._release_held(record)
         if record.holding is not None:
             server, record.holding = record.holding, None
             self.engines.release(server, record)
@@ -487,6 +555,7 @@
         if handle := self._due.pop(record.id, None):
             handle.cancel()
         now = self.now()
+        self._release_held(record)
         self.dropped(record)
         if record.placed:
             record.placed = False
@@ -536,6 +605,9 @@
         """Every request and timer ends; their clients are gone."""
         for record in list(self.table.open.values()):
             self.client_gone(record, "node stopped")
+            if record.out and record.out.call:  # Also where the settings let nothing be called off.
+                record.out.call.cancel(io.Status.CANCELLED)
+            self._stop_hold_timer(record)
         for handle in [*self._timers, *self._due.values()]:
             handle.cancel()
         self._timers.clear()
--- a/tuliptrack/node/port.py
+++ b/tuliptrack/node/port.py
@@ -31,6 +31,8 @@
     """Only this one connection broke, or brought what can't be read."""
     unusable: bool = False
     """The engine can't make anything of the request, and no other would."""
+    received: bool = False
+    """The engine has answered, so it got the whole request; without, it may never have got it."""
     detail: Any = None
     """What the protocol itself says of the end, for accounts that know it."""
 
@@ -53,14 +55,21 @@
 class Engines(Protocol):
     """What carries out attempts. Ends are told through `Core.attempt_over`, never from within these calls."""
 
+    release_spares_claimed: bool
+    """A release lets go only of what no attempt waits for."""
+
     def reaches(self, server: int) -> bool:
         """Whether a list has named this server's address."""
 
     def begin(self, record: Record, attempt: Attempt, timeout: int) -> Call:
         """Make an attempt, for which the node will wait so many microseconds."""
 
-    def release(self, server: int, record: Record) -> None:
-        """Let go of what is held for a request; tried again where the engine wasn't reached."""
+    def release(self, server: int, record: Record, unsure: bool = False) -> None:
+        """Let go of what is held for a request and no attempt waits for; tried again where the engine wasn't reached.
+        `unsure`: a read was broken off and may still end well."""
+
+    def cancel_release(self, record: Record) -> None:
+        """Nothing is to be let go for this request any more: what is held now is newer, or an answer has taken it."""
 
     def hold(self, server: int, record: Record, attempt: Attempt) -> None:
         """Ask for a place; the word on it goes to `Core.place_noted`."""
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -120,7 +120,12 @@
     out: Attempt | None = None
     held: Held | None = None
     held_at: int = 0
-    """When the attempt ended that last reached an engine: since then the state has been held with none out."""
+    """Since when the state may have been held with no attempt at an engine: the end of its read, or of the last attempt of
+    which it is known that its engine got it."""
+    release_asked: bool = False
+    """A release was sent since, in case the attempt that is out never reached its engine."""
+    hold_timer: asyncio.TimerHandle | None = None
+    """When that is due."""
     holding: int | None = None
     """The server at which a place was asked for."""
     untold: int = 0
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -26,6 +26,7 @@
 from tuliptrack.relay.discovery import MOST_CALLS, Discovery, ListError, Members
 from tuliptrack.relay.engines import HttpEngines
 from tuliptrack.relay.front import Front
+from tuliptrack.relay.pools import EnginePools
 from tuliptrack.rpc.http1 import ACCEPTED_AT_ONCE, HttpLimits
 from tuliptrack.rpc.http1_client import ClientOptions, Connections
 
@@ -57,9 +58,10 @@
             answer_ahead=20_000, token_silence=_SILENCE),
                          GateLimits(min(config.open_requests, clients), clients, 1))
         idle = config.idle or 15_000_000
-        self.channels = self.engines = HttpEngines(self, ClientOptions(
+        self.pools = EnginePools(ClientOptions(
             connect_timeout=config.settings.connect_timeout, idle=max(idle - 2_000_000, idle // 2), body_bytes=_BODY),
-            Connections(engines), config.report_names)
+            Connections(engines))
+        self.channels = self.engines = HttpEngines(self, self.pools, config.report_names)
         self.front = Front(self, HttpLimits(
             header_bytes=16_384, body_bytes=_BODY, request_within=2_500_000, first_within=2_500_000, idle=30_000_000,
             connections=clients), Meter(config.memory_bytes // 8), Meter(config.memory_bytes // 6))
@@ -109,7 +111,7 @@
             return True  # Nothing new: the answer only shows that the agent speaks.
         # The router goes first: what it stops sending to may then be let go.
         self.tell(change)
-        self.channels.listed(self.members.addresses)
+        self.pools.update(self.members.addresses)
         log.info("server list", kind=change.kind.value, version=change.version, servers=len(self.members.addresses),
                  changed=[f"{s.state.value}:{s.id % 1_000_000}" for s in change.servers] if not cached else [])
         return True
@@ -168,7 +170,7 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self.sweep()
-            self.channels.sweep()
+            self.pools.sweep()
 
 
 async def _run(config: RelayConfig) -> None:
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -16,8 +16,10 @@
 from tuliptrack.node.core import Core
 from tuliptrack.node.port import Ended
 from tuliptrack.node.requests import Attempt, Held, Record
+from tuliptrack.relay.pools import EnginePools
+from tuliptrack.relay.releases import UNSURE_ROUNDS, Releases
 from tuliptrack.rpc.h1 import Answer, Fields
-from tuliptrack.rpc.http1_client import ClientOptions, Connections, Exchange, How, Pool
+from tuliptrack.rpc.http1_client import Exchange, How
 
 __all__ = ["HttpEngines", "Inbound", "load_of"]
 
@@ -26,9 +28,6 @@
 _REJECTED = "x-rejected"
 _MOST_EVENT = 65_536  # bytes of one event of a stream; past it the stream is spoilt
 _MOST_WORD = 65_536  # bytes of an answer that is no stream
-_RELEASE_S = 0.15  # for one try at letting go
-_RELEASE_TRIES = 8  # at one engine after another: any of them lets go of what is held anywhere
-_MOST_RELEASES = 512  # tries of that kind that are out at once
 _STATUS = {How.CONNECT: io.Status.CONNECT_FAILED, How.NO_ROOM: io.Status.MOOT, How.RESET: io.Status.RESET}
 
 
@@ -163,25 +162,25 @@
             return self._broke(_STATUS[how], reason)
         status = self.exchange.status
         if self._over and status in (503, 504):
-            return Ended(io.Status.FULL, "turned away", load=self._load)
+            return Ended(io.Status.FULL, "turned away", load=self._load, received=True)
         if self._over and status == 410:
-            return Ended(io.Status.FULL, "the state is gone", True, self._load)
+            return Ended(io.Status.FULL, "the state is gone", True, self._load, received=True)
         if status == 202 and self.attempt.reading:
             self.engines.core.read(self.record, self.attempt, Held(self.attempt.server, "", ""), self._kept())
-            return Ended(io.Status.OK, load=self._load)
+            return Ended(io.Status.OK, load=self._load, received=True)
         if self._streams:
             if self._body or not self._whole:
                 self.exchange.spoilt = True
                 return self._broke(io.Status.RESET, "a stream that isn't whole")
             self.record.finish = Finish.STOP
-            return Ended(io.Status.OK, load=self._load)
-        return Ended(io.Status.ERROR, f"answered {status}", load=self._load, unusable=400 <= status < 500)
+            return Ended(io.Status.OK, load=self._load, received=True)
+        return Ended(io.Status.ERROR, f"answered {status}", load=self._load, unusable=400 <= status < 500, received=True)
 
     def _broke(self, status: io.Status, reason: str) -> Ended:
         """A stream that was spoilt has run: the state that it came for has gone with it."""
         exchange = self.exchange
         return Ended(status, reason, exchange.spoilt and not self.attempt.reading, self._load,
-                     lone=exchange.spoilt or exchange.lone)
+                     lone=exchange.spoilt or exchange.lone, received=exchange.status != 0)
 
     def _kept(self) -> int:
         try:
@@ -191,56 +190,21 @@
 
 
 class HttpEngines:
-    """See `node/port.py`. Bounds: `Connections` for all engines together, `_MOST_RELEASES`."""
-
-    def __init__(self, core: Core, options: ClientOptions, connections: Connections, report_names: tuple[str, ...]) -> None:
-        self.core, self.options, self.connections, self.report_names = core, options, connections, report_names
-        self.addresses: dict[int, str] = {}
-        self.pools: dict[int, Pool] = {}
-        self._old: list[Pool] = []
-        self._closing: set[asyncio.Task[None]] = set()
-        self._releases: dict[Exchange, asyncio.TimerHandle] = {}
-        self.unreleased = 0
-        """Times that nothing could be told to let go."""
-
-    # -- the list
-
-    def listed(self, addresses: Mapping[int, str]) -> None:
-        """Take the addresses that hold now. Under a new address an engine has new connections; the old ones end with
-        what runs on them."""
-        for server in [s for s in self.pools if self.addresses.get(s) != addresses.get(s)]:
-            self._old.append(self.pools.pop(server))
-        self.addresses = dict(addresses)
-        self.sweep()
-
-    def sweep(self) -> None:
-        """Close connections that have been idle for too long, and those to engines that have gone."""
-        for pool in self.pools.values():
-            pool.sweep()
-        still = []
-        for pool in self._old:
-            pool.close_idle()
-            if pool.busy:
-                still.append(pool)
-            else:
-                task = asyncio.get_running_loop().create_task(pool.close())
-                self._closing.add(task)
-                task.add_done_callback(self._closing.discard)
-        self._old = still
+    """See `node/port.py`. Bounds: the connections of `EnginePools`, what `Releases` keeps."""
+
+    release_spares_claimed = True
 
-    def _pool(self, server: int) -> Pool | None:
-        found = self.pools.get(server)
-        if found is None and (address := self.addresses.get(server)):
-            found = self.pools[server] = Pool(address, self.options, self.connections)
-        return found
+    def __init__(self, core: Core, pools: EnginePools, report_names: tuple[str, ...]) -> None:
+        self.core, self.pools, self.report_names = core, pools, report_names
+        self.releases = Releases(pools, core.settings.release_within)
 
     def reaches(self, server: int) -> bool:
-        return server in self.addresses
+        return server in self.pools
 
     # -- attempts
 
     def begin(self, record: Record, attempt: Attempt, timeout: int) -> _Attempt:
-        inbound, pool = cast(Inbound, record.ask.payload), self._pool(attempt.server)
+        inbound, pool = cast(Inbound, record.ask.payload), self.pools.get(attempt.server)
         assert pool
         exchange = Exchange(inbound.method, inbound.target, [
             ("host", pool.address), ("x-call-id", inbound.call_id), ("x-budget", f"{timeout / 1e6:.3f}"), *inbound.fields],
@@ -253,37 +217,11 @@
 
     # -- letting go
 
-    def release(self, server: int, record: Record) -> None:
-        inbound = cast(Inbound, record.ask.payload)
-        self._release(f"/bootstrap/rooms/{inbound.call_id}", server, _RELEASE_TRIES, frozenset())
-
-    def _release(self, path: str, server: int, tries: int, tried: frozenset[int]) -> None:
-        """One try; the next one goes to another engine, to the one heard from last of those that are connected."""
-        pool = self._pool(server)
-        if pool is None or len(self._releases) >= _MOST_RELEASES:
-            self._again(path, server, tries, tried)
-            return
-        exchange = Exchange("DELETE", path, [("host", pool.address)])
-        loop = asyncio.get_running_loop()
+    def release(self, server: int, record: Record, unsure: bool = False) -> None:
+        self.releases.begin(cast(Inbound, record.ask.payload).call_id, server, UNSURE_ROUNDS if unsure else 1)
 
-        def ended(how: How, reason: str) -> None:
-            self._releases.pop(exchange).cancel()
-            if how is not How.ANSWER:
-                self._again(path, server, tries, tried)
-
-        exchange.on_end = ended
-        self._releases[exchange] = loop.call_later(_RELEASE_S, exchange.cancel)
-        pool.send(exchange)
-
-    def _again(self, path: str, server: int, tries: int, tried: frozenset[int]) -> None:
-        tried |= {server}
-        others = [s for s in self.addresses if s not in tried] or [s for s in self.addresses if s != server]
-        if tries <= 1 or not others or len(self._releases) >= _MOST_RELEASES:
-            self.unreleased += 1
-            log.warning("not let go", path=path, tried=len(tried))
-            return
-        heard = {s: pool.heard_at for s in others if (pool := self.pools.get(s)) and pool.idle}
-        self._release(path, max(heard, key=heard.__getitem__) if heard else others[0], tries - 1, tried)
+    def cancel_release(self, record: Record) -> None:
+        self.releases.forget(cast(Inbound, record.ask.payload).call_id)
 
     # -- what this protocol has no word for
 
@@ -294,15 +232,11 @@
         asyncio.get_running_loop().call_soon(done, io.ProbeResult(server, io.Status.ERROR, 0))
 
     def close_idle(self, server: int) -> None:
-        if pool := self.pools.get(server):
+        if pool := self.pools.made(server):
             pool.close_idle()
 
     async def close(self) -> None:
-        """Give what is to be let go a moment, then end every connection."""
-        if self._releases:
-            await asyncio.sleep(_RELEASE_S)
-        for pool in [*self.pools.values(), *self._old]:
-            await pool.close()
-        self.pools, self._old = {}, []
-        if self._closing:
-            await asyncio.wait(self._closing)
+        """Wait for what is still to be let go, then end every connection."""
+        await self.releases.drained()
+        self.releases.close()
+        await self.pools.close()
