A request that may have run is not read anew where it may not be sent again

Lines at fault: Router._in_group let any reader pass, and Core._repeat_by set no time for a connection to one. An attempt at a reader has no effect of its own, but it sends the request again. Tests: tests/test_rules.py; tests/test_sequences.py exempted readers by the same mistake and asks for more now. Both seen to fail without the change.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -75,6 +75,30 @@
     only(Send, w.end(number, only(Send, said).server, Status.RESET))
 
 
+@pytest.mark.parametrize(("effect", "after", "again"), [
+    (Effect.SAFE, 3_100 * MS, True), (Effect.KEYED, 2_000 * MS, True), (Effect.KEYED, 3_100 * MS, False),
+    (Effect.UNSAFE, 10 * MS, False),
+])
+def test_rule_2_what_may_have_run_is_not_read_anew_where_it_may_not_be_sent_again(
+        effect: Effect, after: int, again: bool) -> None:
+    """Its state went with the attempt at a writer, so that only a reader could be next."""
+    w = world(effect=effect)
+    number, at = to_writer(w)
+    said = w.end(number, at, Status.RESET, after=after, state_lost=True)
+    assert bool([action for action in said if isinstance(action, Send)]) is again
+    assert bool(answers(said)) is not again
+
+
+def test_rule_2_a_keyed_request_is_read_anew_in_the_group_that_drops_its_repeats() -> None:
+    servers = [server(n, READ, cell=n % 3) for n in range(1, 10)] + [server(n, WRITE, cell=n % 3) for n in range(10, 19)]
+    for prefix in range(1, 10):
+        w = world(servers, effect=Effect.KEYED, scope=KeyScope.CELL)
+        number, said = w.ask(prefix=prefix)
+        at = only(Send, w.end(number, only(Send, said).server, Status.READ)).server
+        again = only(Send, w.end(number, at, Status.RESET, state_lost=True)).server
+        assert again < 10 and again % 3 == at % 3
+
+
 def test_rule_2_a_keyed_request_stays_in_the_group_that_drops_its_repeats() -> None:
     servers = [server(1, READ), *(server(i, WRITE, cell=i // 10) for i in (10, 11, 20, 21))]
     w = world(servers, effect=Effect.KEYED, scope=KeyScope.CELL)
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -92,7 +92,7 @@
             assert life.out is None, "two attempts out"
             assert life.attempts < self.settings.max_attempts
             assert self.servers[action.server].state is ServerState.READY, "rule 3: sent to a drain"
-            if life.may_have_run and self.effect is not Effect.SAFE and self.role(action.server) != READ:
+            if life.may_have_run and self.effect is not Effect.SAFE:
                 assert self.effect is not Effect.UNSAFE, "rule 2: unsafe twice"
                 sent, at = life.may_have_run
                 assert self.now - sent <= self.settings.classes[0].dedup_window, "rule 2: after the window"
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -477,8 +477,8 @@
         return turn if turn * COLD_SPREAD % 1 * heavy <= 1 else None
 
     def _in_group(self, flight: Flight, seat: Seat) -> bool:
-        """Whether a send there can't double an effect, given what may already have run."""
-        if flight.effect is None or flight.cls.effect is Effect.SAFE or seat.role is Role.READ:
+        """Whether a send there can't double an effect, given what may have run. To read it anew is to send it again."""
+        if flight.effect is None or flight.cls.effect is Effect.SAFE:
             return True
         sent, first = flight.effect
         if flight.cls.effect is Effect.UNSAFE or self.now - sent > flight.cls.dedup_window:
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -301,7 +301,7 @@
         if record.held:
             attempt.reader = record.held.server
             attempt.connect_by = record.held_at + self.settings.release_within
-        if repeat_by := self._repeat_by(record, seat.role):
+        if repeat_by := self._repeat_by(record):
             attempt.connect_by = min(attempt.connect_by or repeat_by, repeat_by)
         attempt.cut_at_due = not action.timeout or action.timeout >= left
         timeout = max(left if attempt.cut_at_due else action.timeout, 1)
@@ -315,11 +315,11 @@
         attempt.timer = handle
         self.sent(record, attempt, action)
 
-    def _repeat_by(self, record: Record, role: io.Role) -> int:
+    def _repeat_by(self, record: Record) -> int:
         """By when a further attempt of what may have run has to be sent, lest its engine take it for another request: within
         the window for repeats, counted from the earliest moment that the first may have run; 0: at any time."""
         cls, flight = self.settings.classes[self.classes[record.ask.request_class]], record.router.flights.get(record.id)
-        if role is io.Role.READ or cls.effect is not io.Effect.KEYED or flight is None or flight.effect is None:
+        if cls.effect is not io.Effect.KEYED or flight is None or flight.effect is None:
             return 0
         return flight.effect[0] + cls.dedup_window
 
