A read that was given up may run yet: not sent again, nor refused, where that may double an effect

Ruled out: reads that broke or answered 500 (sent again dozens of times with no break), attempts at writers. The wire page says that an attempt at a reader has no effect however it ends; an engine that hangs has the request whole, and what we measured is the stricter reading: docs/questions.md. Lines: Router._outcome (effect), Router._patience (own time-outs where nothing could be sent again), Core.cut (a read out at the node's end was refused; seen as 'class order was refused after an attempt that may have run' at 16.321, n5 request 63, 'this node has shut down'). Tests: tests/test_rules.py, test_sequences.py, tests/relay/test_endings.py, seen to fail before.

--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import pytest
 from helpers import BOTH, MS, READ, WRITE, S, World, answers, fleet, none, only, server, world
 
+from tuliptrack.brain import Router
 from tuliptrack.interface import (
     Cancel,
     ClientGone,
     Effect,
     Fail,
     KeyScope,
+    ListKind,
     Refuse,
     Release,
     Send,
@@ -69,10 +73,40 @@
     assert only(Send, w.end(number, at, status)).server != at
 
 
-def test_rule_2_a_reader_has_no_effect_however_it_ends() -> None:
+@pytest.mark.parametrize("status", [Status.RESET, Status.ERROR, Status.FULL, Status.CONNECT_FAILED])
+def test_rule_2_a_read_that_has_ended_has_no_effect_however_it_ended(status: Status) -> None:
     w = world(effect=Effect.UNSAFE)
     number, said = w.ask()
-    only(Send, w.end(number, only(Send, said).server, Status.RESET))
+    only(Send, w.end(number, only(Send, said).server, status))
+
+
+@pytest.mark.parametrize(("effect", "scope", "answer"), [
+    (Effect.SAFE, KeyScope.ALL, Send), (Effect.KEYED, KeyScope.ALL, Send), (Effect.UNSAFE, KeyScope.ALL, Fail)])
+@pytest.mark.parametrize("after", [1 * S, 4 * S])
+def test_rule_2_a_read_that_was_given_up_may_yet_run(effect: Effect, scope: KeyScope, answer: type, after: int) -> None:
+    """An engine that hangs finds the whole request in its buffer when it goes on, whatever became of the connection."""
+    w = world(effect=effect, scope=scope)
+    number, said = w.ask()
+    said = w.end(number, only(Send, said).server, Status.TIMEOUT, after=after)
+    outside = effect is Effect.KEYED and after > 3 * S
+    only(Refuse if outside else answer, said)
+    assert bool([action for action in said if isinstance(action, Send)]) is (answer is Send and not outside)
+
+
+def test_rule_2_no_attempt_is_given_up_where_it_could_not_be_sent_again() -> None:
+    for effect in (Effect.UNSAFE, Effect.KEYED):
+        w = world(effect=effect)
+        if effect is Effect.KEYED:
+            classes = tuple(replace(one, dedup_window=100 * MS) for one in w.router.settings.classes)
+            w = World(Router(replace(w.router.settings, classes=classes), 1))
+            w.list(*fleet(), kind=ListKind.FULL)
+        for _ in range(8):
+            number, said = w.ask()
+            assert only(Send, said).timeout == 0
+            said = w.end(number, only(Send, said).server, Status.READ)
+            assert only(Send, said).timeout == 0
+            w.start(number, only(Send, said).server)
+            w.end(number, only(Send, said).server, Status.OK, over=True)
 
 
 @pytest.mark.parametrize(("effect", "after", "again"), [
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -133,15 +133,15 @@
             status, over = self.random.choice([Status.CANCELLED, late]), life.gone
         else:
             over = life.gone
-            status = self.random.choice([Status.READ] * 6 + [Status.FULL, Status.ERROR, Status.RESET,
-                                         Status.CONNECT_FAILED] if reader else
-                                        [Status.FULL, Status.ERROR, Status.RESET, Status.CONNECT_FAILED])
+            failures = [Status.FULL, Status.ERROR, Status.RESET, Status.CONNECT_FAILED, Status.TIMEOUT]
+            status = self.random.choice([Status.READ] * 6 + failures if reader else failures)
         lost = status is Status.FULL and not reader and self.random.random() < 0.3
         if reader:
             life.state = status is Status.READ
         elif lost:
             life.state = False
-        elif status not in PROVEN and life.may_have_run is None:
+        given_up = status is Status.TIMEOUT  # Even a read that was given up may yet run.
+        if (given_up if reader else not lost and status not in PROVEN) and life.may_have_run is None:
             life.may_have_run = (life.sent_at, at)
         life.out = None
         if over:
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -75,7 +75,7 @@
         """`beside` is this node's router of another model: quotas and zones' budgets are kept together."""
         self.settings = settings
         self.random = Random(seed)
-        self.now, self.born, self.refused_at, self.looked_at = 0, 0, -CALM_US, 0
+        self.now, self.born, self.refused_at, self.looked_at, self.arrived_at = 0, 0, -CALM_US, 0, 0
         self.out: list[Action] = []
         self.fleet = Fleet(settings.roles)
         self.seats, self.asked = self.fleet.seats, Asked()
@@ -84,8 +84,7 @@
         # What answers of a role have shown; those of other zones apart, where crossings are counted.
         self.kinds = {(role, far): Kind(deque(maxlen=TYPICAL_OF)) for role in Role for far in (False, True)}
         self.quotas = sum(t.quota_per_s for t in settings.tenants)  # what this fleet is built for
-        self.gap, self.arrived_at = 0.0, 0
-        self.unseen = 1 - 1 / settings.replicas  # the part of all traffic that this node can't see
+        self.gap, self.unseen = 0.0, 1 - 1 / settings.replicas  # the part of all traffic that others see
         self.noted: set[str] = set()
         self.acts: dict[type, Callable[[Any], None]] = {
             Request: self._arrive, Outcome: self._outcome, Started: self._started, FleetChange: self._listed,
@@ -362,8 +361,7 @@
                 self.now, seat.info.zone, seat.role, mix(flight.request.session) / 2**64):
             return False
         keys = self._keys(flight) if self.now - self.refused_at < CALM_US else (_PACE, *self._keys(flight))
-        return not seat.blamed or all(
-            self.now >= seat.blamed[key].until for key in keys if key in seat.blamed)
+        return not seat.blamed or all(self.now >= seat.blamed[k].until for k in keys if k in seat.blamed)
 
     def _trial_wait(self, fails: int) -> int:
         wait = min(max(TRIAL_US * 2 ** (fails - 1), TRIAL_GAPS * self.gap), TRIAL_MOST_US)
@@ -434,9 +432,10 @@
         just now: that is a jam, or may be one, and retries would feed it."""
         kind = seat.kind
         left = self.settings.max_attempts - flight.attempts - (seat.role is Role.READ)
-        unsafe = seat.role is not Role.READ and flight.cls.effect is Effect.UNSAFE  # could not be sent again
+        window = {Effect.SAFE: math.inf, Effect.KEYED: flight.cls.dedup_window}.get(flight.cls.effect, 0)
         unheard = seat.role is not Role.WRITE and 0 < kind.heard_at < self.now - SILENCE_FLOOR * flight.aim
-        if left <= 0 or unsafe or unheard or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US:
+        jammed = unheard or kind.lost >= LOST_MOST or self.now - self.refused_at < CALM_US
+        if left <= 0 or not window or jammed:
             return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
         olds = [old for s in self.fleet.ready(seat.role) if (old := self._oldest(s))]
@@ -447,7 +446,7 @@
         wait *= SILENCE_STEP**flight.silences
         # Where reports tell of a queue, silence is waiting: a retry would only lengthen it.
         wait *= (1 + kind.waiting / max(kind.work, 1.0)) / max(1 - kind.lost, 1 - LOST_MOST)
-        return int(wait) if self.now + 2 * wait < flight.due else 0
+        return int(wait) if self.now + 2 * wait < flight.due and wait < window else 0
 
     def _cold_turn(self, seat: Seat, flight: Flight) -> int | None:
         """The turn by which a request may go to a server: 0 where it is warm, None where there is none.
@@ -477,7 +476,7 @@
         return turn if turn * COLD_SPREAD % 1 * heavy <= 1 else None
 
     def _in_group(self, flight: Flight, seat: Seat) -> bool:
-        """Whether a send there can't double an effect, given what may have run. To read it anew is to send it again."""
+        """Whether a send there, also to be read anew, can't double an effect of what may have run."""
         if flight.effect is None or flight.cls.effect is Effect.SAFE:
             return True
         sent, first = flight.effect
@@ -563,8 +562,9 @@
             self._bad(seat, event, flight)
         if seat.role is not Role.READ:
             seat.tokens = max(seat.tokens - flight.cost, 0.0)
-            if event.status not in _PROVEN and flight.effect is None:
-                flight.effect = (flight.sent, seat.info)
+        given_up = event.status is Status.TIMEOUT  # Even a read may run yet, where its engine hangs.
+        if flight.effect is None and (given_up if seat.role is Role.READ else event.status not in _PROVEN):
+            flight.effect = (flight.sent, seat.info)
         flight.at = None
         if event.status is Status.READ:
             self._good(seat, event.latency, flight)
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -588,7 +588,9 @@
                 continue
             cls = self.settings.classes[self.classes[record.ask.request_class]]
             flight = record.router.flights.get(record.id)
-            may_have_run = record.state is State.WRITING or (flight is not None and flight.effect is not None)
+            # Even a read: its engine may find it whole, though its connection has ended meanwhile.
+            sent = record.out is not None and (record.out.call is None or not record.out.call.unsent())
+            may_have_run = sent or (flight is not None and flight.effect is not None)
             if may_have_run and cls.effect is not io.Effect.SAFE:
                 self._answer_failed(record, Failure.LOST, reason)
             else:
