Nothing is sent on a connection that its engine has closed, no unread request makes room

Review of endings, found by reading and forced on sockets, each test seen to fail before (tests/rpc/test_http1.py): - A kept connection whose peer had ended it was written on where the loop had not read that end: a reset, which may have run, and for a class that may not be repeated a failure. Pool.send asks the kernel first. - Where connections are all taken, the oldest made room though a request on it had come and was not read yet: reset and lost. It stays now (HttpServer._spare); a connection that never had a whole request may still go, as a flood must make room for itself. - A request's end called twice could take another request's place by the same id (front._Stream.over).

--- a/tests/rpc/test_http1.py
+++ b/tests/rpc/test_http1.py
@@ -7,6 +7,7 @@
 import json
 import socket
 from itertools import pairwise
+from typing import Any
 
 import pytest
 from hypothesis import HealthCheck, given
@@ -17,6 +18,7 @@
 from tuliptrack.decisions.gate import Meter
 from tuliptrack.rpc import http1
 from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Refusal
+from tuliptrack.rpc.http1_client import ClientOptions, Connections, Exchange, How, Pool
 
 REQUESTS = (b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello"
             b"POST /b HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
@@ -294,3 +296,69 @@
         await server.stop()
 
     run(go)
+
+
+def test_a_connection_with_a_request_that_was_not_read_yet_makes_no_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The request comes in the instant in which its connection, idle for longest, would be closed for a new one."""
+    async def go() -> None:
+        server = HttpServer(echo, early, HttpLimits(connections=2))
+        await server.listen()
+        loop = asyncio.get_running_loop()
+        served = [await dial(server) for _ in range(2)]
+        ask = b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n"
+        for sock in served:
+            await loop.sock_sendall(sock, ask)
+            assert (await loop.sock_recv(sock, 65_536)).startswith(b"HTTP/1.1 200")
+        takes = server.takes
+
+        def crossing(link: Any) -> bool:
+            served[0].send(ask)
+            return takes(link)
+
+        monkeypatch.setattr(server, "takes", crossing)
+        late = await dial(server)
+        assert (await asyncio.wait_for(loop.sock_recv(served[0], 65_536), 5)).startswith(b"HTTP/1.1 200")
+        assert server.made_room == 1
+        with contextlib.suppress(ConnectionResetError):  # The other one made room.
+            assert not await asyncio.wait_for(loop.sock_recv(served[1], 65_536), 5)
+        for sock in (*served, late):
+            sock.close()
+        await server.stop()
+
+    run(go)
+
+
+def test_nothing_is_sent_on_a_kept_connection_whose_peer_has_just_closed_it() -> None:
+    """Its end has come, but the loop has not read it: what is sent there would end as a reset, which may have run."""
+    async def go() -> None:
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        pool = Pool("{}:{}".format(*listener.getsockname()), ClientOptions(rest=0), Connections(4))
+        answers: list[tuple[How, int]] = []
+
+        def ask() -> Exchange:
+            exchange = Exchange("POST", "/a", [("host", "x")], b"{}")
+            exchange.on_end = lambda how, reason: answers.append((how, exchange.status))
+            pool.send(exchange)
+            return exchange
+
+        async def serve() -> socket.socket:
+            sock, _ = await loop.sock_accept(listener)
+            assert (await loop.sock_recv(sock, 65_536)).startswith(b"POST /a")
+            await loop.sock_sendall(sock, b"HTTP/1.1 202 Accepted\r\ncontent-length: 0\r\n\r\n")
+            return sock
+
+        ask()
+        first = await serve()
+        await until(lambda: len(pool.idle) == 1)
+        first.close()
+        ask()  # No turn of the loop lies between.
+        second = await asyncio.wait_for(serve(), 5)
+        await until(lambda: len(answers) == 2)
+        assert answers == [(How.ANSWER, 202)] * 2
+        await pool.close()
+        second.close()
+        listener.close()
+
+    run(go)
--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -42,8 +42,10 @@
         self.kept = 0
 
     def over(self) -> None:
+        """Safe to call more than once: its id may be another request's by then."""
         self.let_go()
-        self.front.open.pop(self.call_id, None)
+        if self.front.open.get(self.call_id) is self:
+            del self.front.open[self.call_id]
 
     def events(self, data: bytes) -> bool:
         if not self.call.started:
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -24,13 +24,14 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any
 
 import structlog
 
 from tuliptrack.decisions.gate import BODIES_FULL, Meter, refusal_text
 from tuliptrack.rpc.h1 import Body, Fields, Head, Part, ServerSide, Wrong
-from tuliptrack.rpc.tcp import ended_by_peer
+from tuliptrack.rpc.tcp import ended_by_peer, has_unread
 
 __all__ = ["HttpCall", "HttpLimits", "HttpServer", "Refusal"]
 
@@ -40,6 +41,7 @@
 _MOST_A_TURN = 4  # requests of one connection that are answered before others get their turn
 _MOST_AHEAD = 65_536  # bytes of further requests kept while one is answered
 _LINGER_S, _LINGER_BYTES = 1.0, 1_048_576  # after our end: how long the client's is waited for, and what it may send
+_LOOKED_AT = 16  # connections of each kind that are looked at when room is wanted
 _LINGER_MOST_S = 30.0  # the same, while a slow reader still takes what waits for it
 
 
@@ -470,15 +472,12 @@
     # -- what its connections tell
 
     def takes(self, link: _HttpLink) -> bool:
-        """Whether a new connection has room, made if need be; it is one of ours if so. Who has ended goes first, then who has
-        asked for nothing yet, so that a flood of such connections makes room for itself and not in place of clients."""
-        if len(self.links) >= self.limits.connections and not self.stopping and (
-                oldest := next(iter(self._lingering), None) or next((k for k in self._new if not k.side.begun), None)
-                or next(iter(self._new or self._free), None)):
+        """Whether a new connection has room, made if need be; it is one of ours if so."""
+        if len(self.links) >= self.limits.connections and not self.stopping and (spare := self._spare()):
             self.made_room += 1
-            oldest.closing = True
-            self.left(oldest)
-            oldest.transport.abort()
+            spare.closing = True
+            self.left(spare)
+            spare.transport.abort()
         if len(self.links) >= self.limits.connections or self.stopping:
             self.turned_away += 1
             link.closing = True
@@ -486,6 +485,20 @@
         self.links[link] = self._new[link] = None
         return True
 
+    def _spare(self) -> _HttpLink | None:
+        """The connection that makes room for a new one. Who has ended goes first, then who has asked for nothing yet, so that
+        a flood of such connections makes room for itself and not in place of clients. One with bytes that were not read
+        stays if it can: they may be a request. Of clients that were served before, it always stays."""
+        if lingering := next(iter(self._lingering), None):
+            return lingering
+        silent = (link for link in self._new if not link.side.begun)
+        for links in (silent, self._new, self._free):
+            if found := next((k for k in islice(links, _LOOKED_AT) if not has_unread(k.transport)), None):
+                return found
+            if links is self._new and self._new:
+                return next(iter(self._new))
+        return None
+
     def busy(self, link: _HttpLink) -> None:
         self._free.pop(link, None)
         self._new.pop(link, None)
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -19,7 +19,7 @@
 
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Answer, ClientSide, Done, Fields, Part, Wrong
-from tuliptrack.rpc.tcp import stands
+from tuliptrack.rpc.tcp import ended_by_peer, stands
 
 __all__ = ["ClientOptions", "Connections", "Exchange", "How", "Pool"]
 
@@ -196,6 +196,10 @@
         """Whether the kernel holds the connection to be up: what has just broken with it may not have been told yet."""
         return not self.dead and stands(self.transport)
 
+    def ended(self) -> bool:
+        """Whether the peer has ended the connection, though that may not have been read yet: what is written now is lost."""
+        return self.transport.is_closing() or ended_by_peer(self.transport)
+
     def drop(self, reason: str) -> None:
         """End the connection now."""
         self.exchange = None
@@ -250,10 +254,10 @@
             if rested is None:
                 break
             self.idle.remove(rested)
-            if now - rested.idle_since < self.options.idle / 1e6 and not rested.transport.is_closing():
+            if now - rested.idle_since < self.options.idle / 1e6 and not rested.ended():
                 rested.begin(exchange)
                 return
-            rested.drop("idle for too long")
+            rested.drop("idle for too long, or ended")
         if self._closed or not self.connections.take():
             self.loop.call_soon(exchange.ended, How.NO_ROOM, f"{self.connections.held} connections are open")
             return
--- a/tuliptrack/rpc/tcp.py
+++ b/tuliptrack/rpc/tcp.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import array
 import asyncio
+import fcntl
 import socket
+import termios
 
-__all__ = ["ended_by_peer", "stands"]
+__all__ = ["ended_by_peer", "has_unread", "stands"]
 
 _ESTABLISHED = 1
 _ENDED = frozenset({6, 7, 8, 9, 11})  # TIME_WAIT, CLOSE (after a reset), CLOSE_WAIT, LAST_ACK, CLOSING
@@ -31,3 +34,16 @@
 def ended_by_peer(transport: asyncio.BaseTransport) -> bool:
     """Whether the peer has ended its sending or reset the connection, though its end may not have been read yet."""
     return _state(transport) in _ENDED
+
+
+def has_unread(transport: asyncio.BaseTransport) -> bool:
+    """Whether bytes have come that the loop has not read yet; False where the kernel can't tell."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return False
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    except OSError:
+        return False
+    return count[0] > 0
