A hold's clock runs on what the kernel knows; nothing is let go beside an attempt that was delivered

Now a release beside an attempt is made only where the attempt's bytes are not confirmed by the peer's machine (TIOCOUTQ), and what a broken read may have left is let go when no attempt follows, or when none gets through in time. A release goes first to the engine heard from last with a connection to spare. Rule: the platform says that a read is the request itself, the gRPC engines' Read is a call of its own, so Core.cut asks its engines.

--- a/tuliptrack/node/calls.py
+++ b/tuliptrack/node/calls.py
@@ -42,6 +42,9 @@
     def unsent(self) -> bool:
         return False  # What waits for a connection ends as what runs does.
 
+    def delivered(self) -> bool:
+        return True  # Its connection has its own keep-alive.
+
     def pause(self) -> None:
         self.call.pause()
 
@@ -52,7 +55,8 @@
 class GrpcEngines:
     """See `node/port.py`; the channels are `Engines`'. A state that nobody takes is let go by its engine's own lease."""
 
-    release_spares_claimed = False
+    reads_have_no_effect = True
+    one_release_for_all = False
 
     def __init__(self, core: Core, channels: Engines) -> None:
         self.core, self.channels = core, channels
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -372,37 +372,51 @@
     # -- held states
 
     def _restart_hold(self, record: Record) -> None:
-        """A state is held, and from now on possibly without an attempt that waits for it."""
+        """A state is held, or may be, and from now on possibly without an attempt that waits for it."""
         self._stop_hold_timer(record)
         record.held_at, record.release_asked = self.now(), False
-        if self.engines.release_spares_claimed:
-            record.hold_timer = asyncio.get_running_loop().call_later(
-                self.settings.release_within / 1e6, self._hold_overdue, record)
+        record.hold_timer = asyncio.get_running_loop().call_later(
+            self.settings.release_within / 1e6, self._hold_overdue, record)
 
     def _hold_overdue(self, record: Record) -> None:
-        """The settings' time for a state without an attempt is over. Whether the attempt that is out has reached its engine
-        can't be known before that answers. A release is right in both cases: it spares what an attempt waits for."""
+        """The settings' time for a state without an attempt is over. It does not run while an attempt is at its engine. One
+        that is on its way may never get there: the state is let go, and where it does arrive, the prompt is read anew."""
         record.hold_timer = None
-        if record.held:
-            record.release_asked = True
-            self.engines.release(record.held.server, record)
+        if record.out and record.out.call and record.out.call.delivered():
+            return
+        record.release_asked = True
+        self._ask_release(record)
+
+    def _ask_release(self, record: Record) -> None:
+        server = record.held.server if record.held else record.maybe_held
+        if server is not None:
+            self.engines.release(server, record, unsure=record.maybe_held is not None)
+
+    def _release_held(self, record: Record) -> None:
+        """Let go of what is held for a request, if anything is or may be. While an attempt is out it stays on record: what
+        that waits for is spared, and let go when it ends."""
+        self._ask_release(record)
+        if record.out is None:
+            self._drop_hold(record)
 
     def _drop_hold(self, record: Record) -> None:
         """Nothing is held for a request any more, as far as this node has to do with it."""
         self._stop_hold_timer(record)
-        record.held = None
+        record.held = record.maybe_held = None
 
     def _stop_hold_timer(self, record: Record) -> None:
         if record.hold_timer:
             record.hold_timer.cancel()
             record.hold_timer = None
 
-    def _release_held(self, record: Record) -> None:
-        """Let go of the state that is held for a request, if there is one."""
-        if record.held:
-            server = record.held.server
-            self._drop_hold(record)
-            self.engines.release(server, record)
+    def _read_broken_off(self, record: Record, attempt: Attempt) -> None:
+        """A read may have ended well as it broke off, or may yet. Where one release is for everything, it is made when no
+        further attempt follows; an answer's first token makes it needless."""
+        if self.engines.one_release_for_all:
+            record.maybe_held = attempt.server
+            self._restart_hold(record)
+        else:
+            self.engines.release(attempt.server, record)
 
     # -- ends of attempts
 
@@ -417,7 +431,7 @@
         told = self._after_attempt(record, attempt, ended)
         crossed = self.crossed(record, attempt, ended)
         if attempt.reading and record.held is None and told.status in _MAY_HAVE_READ:
-            self.engines.release(attempt.server, record, unsure=True)  # The read may have ended as it broke off.
+            self._read_broken_off(record, attempt)
         read = record.cached_tokens if told.status in (io.Status.OK, io.Status.READ) else 0
         self.tell(io.Outcome(record.id, attempt.number, attempt.server, told.status, latency, record.ended, read,
                              told.state_lost, ended.load, crossed, ended.lone))
@@ -458,7 +472,7 @@
         lost = ended.state_lost or overdue
         if lost:
             self._release_held(record)  # Also where it is said to be gone: the word may be wrong.
-        elif record.held and (ended.received or record.release_asked):
+        elif (record.held or record.maybe_held is not None) and (ended.received or record.release_asked):
             self._restart_hold(record)
         record.go(State.HELD if record.held else State.TAKEN)
         return _Told(status, lost)
@@ -588,9 +602,7 @@
                 continue
             cls = self.settings.classes[self.classes[record.ask.request_class]]
             flight = record.router.flights.get(record.id)
-            # Even a read: its engine may find it whole, though its connection has ended meanwhile.
-            sent = record.out is not None and (record.out.call is None or not record.out.call.unsent())
-            may_have_run = sent or (flight is not None and flight.effect is not None)
+            may_have_run = self._may_run(record.out) or (flight is not None and flight.effect is not None)
             if may_have_run and cls.effect is not io.Effect.SAFE:
                 self._answer_failed(record, Failure.LOST, reason)
             else:
@@ -598,6 +610,12 @@
             self.tell(io.ClientGone(record.id))  # The router owes it nothing more; it calls off what is out.
             self._settle(record)
 
+    def _may_run(self, out: Attempt | None) -> bool:
+        """Whether an attempt that is called off now may have had an effect, or may have one yet."""
+        if out is None or (out.reading and self.engines.reads_have_no_effect):
+            return False
+        return out.call is None or not out.call.unsent()
+
     def hand_back(self) -> None:
         """Streams that have begun go back to their clients, to be resumed at another node."""
         for record in list(self.table.open.values()):
--- a/tuliptrack/node/port.py
+++ b/tuliptrack/node/port.py
@@ -32,7 +32,7 @@
     unusable: bool = False
     """The engine can't make anything of the request, and no other would."""
     received: bool = False
-    """The engine has answered, so it got the whole request; without, it may never have got it."""
+    """The engine has got the whole request, as far as is known: it has answered, or its machine has confirmed the bytes."""
     detail: Any = None
     """What the protocol itself says of the end, for accounts that know it."""
 
@@ -46,6 +46,9 @@
     def unsent(self) -> bool:
         """Whether its engine can't act on it yet: given up now, it never ran."""
 
+    def delivered(self) -> bool:
+        """Whether its engine's machine has confirmed the whole request; True where that can't be known."""
+
     def pause(self) -> None:
         """Take no more of its answer for now."""
 
@@ -55,8 +58,11 @@
 class Engines(Protocol):
     """What carries out attempts. Ends are told through `Core.attempt_over`, never from within these calls."""
 
-    release_spares_claimed: bool
-    """A release lets go only of what no attempt waits for."""
+    reads_have_no_effect: bool
+    """A read is a call of its own. Where it is the request itself, an engine that hangs may find it and run it later."""
+    one_release_for_all: bool
+    """A release, at whatever engine, lets go of all that is held for a request but what an attempt waits for; so does the
+    first token of an answer."""
 
     def reaches(self, server: int) -> bool:
         """Whether a list has named this server's address."""
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -119,6 +119,8 @@
     attempts: int = 0
     out: Attempt | None = None
     held: Held | None = None
+    maybe_held: int | None = None
+    """A server at which a read was broken off: it may hold a state all the same."""
     held_at: int = 0
     """Since when the state may have been held with no attempt at an engine: the end of its read, or of the last attempt of
     which it is known that its engine got it."""
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -80,6 +80,9 @@
     def unsent(self) -> bool:
         return not self.exchange.sent
 
+    def delivered(self) -> bool:
+        return self.exchange.delivered()
+
     def pause(self) -> None:
         self.exchange.pause()
 
@@ -180,7 +183,7 @@
         """A stream that was spoilt has run: the state that it came for has gone with it."""
         exchange = self.exchange
         return Ended(status, reason, exchange.spoilt and not self.attempt.reading, self._load,
-                     lone=exchange.spoilt or exchange.lone, received=exchange.status != 0)
+                     lone=exchange.spoilt or exchange.lone, received=exchange.delivered())
 
     def _kept(self) -> int:
         try:
@@ -192,7 +195,8 @@
 class HttpEngines:
     """See `node/port.py`. Bounds: the connections of `EnginePools`, what `Releases` keeps."""
 
-    release_spares_claimed = True
+    reads_have_no_effect = False
+    one_release_for_all = True
 
     def __init__(self, core: Core, pools: EnginePools, report_names: tuple[str, ...]) -> None:
         self.core, self.pools, self.report_names = core, pools, report_names
@@ -218,7 +222,7 @@
     # -- letting go
 
     def release(self, server: int, record: Record, unsure: bool = False) -> None:
-        self.releases.begin(cast(Inbound, record.ask.payload).call_id, server, UNSURE_ROUNDS if unsure else 1)
+        self.releases.begin(cast(Inbound, record.ask.payload).call_id, UNSURE_ROUNDS if unsure else 1)
 
     def cancel_release(self, record: Record) -> None:
         self.releases.forget(cast(Inbound, record.ask.payload).call_id)
--- a/tuliptrack/relay/releases.py
+++ b/tuliptrack/relay/releases.py
@@ -1,8 +1,9 @@
 """Letting go of read states: a `DELETE` for a request, tried at one engine after another until one has confirmed it.
 
 Any engine that runs lets go of what is held for a request, wherever it is held. So a release does not depend on the engine
-that holds the state: with every step more engines are tried at once, those first that were heard from last, and a try whose
-connection is still coming up is not waited for. The time between two steps is a fixed part of the time that the settings
+that holds the state. The first try goes to the engine that was heard from last of those with a connection to spare, since a
+new one costs its engine work. With every step more engines are tried at once, and a try whose connection is still coming up
+is not waited for. The time between two steps is a fixed part of the time that the settings
 allow (`within`): in that time `TRIES_AT_STEP` adds up to 19 tries. Past it the state is overdue, and tries go on at
 the pace of one step each `within`, until an engine confirms or `ABANDONED_AFTER_S` has passed.
 
@@ -16,6 +17,7 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import random
 from collections import deque
 from dataclasses import dataclass, field
@@ -43,7 +45,6 @@
     """What is to be let go for one request."""
 
     call_id: str
-    holder: int
     began: float
     """On the loop's clock, in seconds."""
     rounds: int
@@ -77,14 +78,14 @@
     def __len__(self) -> int:
         return len(self._pending)
 
-    def begin(self, call_id: str, holder: int, rounds: int = 1) -> None:
-        """Let go of all that is held for a request; `holder` is the engine that most likely holds it."""
+    def begin(self, call_id: str, rounds: int = 1) -> None:
+        """Let go of all that is held for a request, so many times over."""
         if pending := self._pending.get(call_id):
             pending.rounds = max(pending.rounds, rounds)
             return
         if len(self._pending) >= MOST_PENDING:
             self._abandon(next(iter(self._pending.values())))
-        release = _Release(call_id, holder, asyncio.get_running_loop().time(), rounds)
+        release = _Release(call_id, asyncio.get_running_loop().time(), rounds)
         self._pending[call_id] = release
         self._idle.clear()
         self._advance(release)
@@ -129,26 +130,20 @@
         release.timer = loop.call_later(pause, self._advance, release)
 
     def _targets(self, release: _Release, wanted: int) -> list[int]:
-        """Engines to try next: at first the holder, then those with an open connection that were heard from last. A first
-        try that needs a connection has one beside it that does not."""
-        waiting = set(release.tries.values())
+        """Engines to try next; those tried before once all have been."""
         untried = [s for s in self.pools if s not in release.tried]
         if not untried:
             release.tried.clear()
+            waiting = set(release.tries.values())
             untried = [s for s in self.pools if s not in waiting]
-        ranked = sorted(untried, key=self._rank, reverse=True)
-        if release.step or release.holder not in self.pools:
-            return ranked[:wanted]
-        connected = [s for s in ranked if s != release.holder and self._rank(s)[0]]
-        beside = [] if self._rank(release.holder)[0] else connected[:1]
-        return [release.holder, *beside]
+        return heapq.nlargest(wanted, untried, key=self._rank)
 
     def _rank(self, server: int) -> tuple[bool, float, float]:
-        """How good an engine is for a try: connected, then heard from lately, then by chance."""
+        """How good an engine is for a try: a connection to spare, then heard from lately, then by chance."""
         pool = self.pools.made(server)
         if pool is None:
             return False, 0.0, random.random()
-        return bool(pool.idle), pool.heard_at, random.random()
+        return pool.has_spare(), pool.heard_at, random.random()
 
     def _try(self, release: _Release, server: int) -> None:
         pool = self.pools.get(server)
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -19,7 +19,7 @@
 
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Answer, ClientSide, Done, Fields, Part, Wrong
-from tuliptrack.rpc.tcp import ended_by_peer, stands
+from tuliptrack.rpc.tcp import ended_by_peer, has_unconfirmed, stands
 
 __all__ = ["ClientOptions", "Connections", "Exchange", "How", "Pool"]
 
@@ -65,8 +65,8 @@
 class Exchange:
     """One request. Callbacks run at once and must not wait."""
 
-    __slots__ = ("_link", "_paused", "body", "connect_by", "fields", "lone", "method", "on_data", "on_end", "on_head", "open",
-                 "sent", "spoilt", "status", "target", "wanted")
+    __slots__ = ("_delivered", "_link", "_paused", "body", "connect_by", "fields", "lone", "method", "on_data", "on_end",
+                 "on_head", "open", "sent", "spoilt", "status", "target", "wanted")
 
     def __init__(self, method: str, target: str, fields: Fields, body: bytes = b"") -> None:
         self.method, self.target, self.fields, self.body = method, target, fields, body
@@ -84,7 +84,7 @@
         """Of one that broke: what came can't be read; only its own connection has ended, which had been kept and brought
         nothing for it, or beside which others to the same address stand, or was not waited for in full."""
         self._link: _Link | None = None
-        self._paused = False
+        self._paused = self._delivered = False
 
     def cancel(self) -> None:
         """Give it up: its connection ends. `on_end` is called at once, unless it has been."""
@@ -105,8 +105,15 @@
         if self._link:
             self._link.transport.resume_reading()
 
+    def delivered(self) -> bool:
+        """Whether the peer's machine has confirmed the whole request, if only by an answer; True where that can't be known."""
+        if self.sent and not self._delivered:
+            self._delivered = self.status != 0 or self._link is None or not has_unconfirmed(self._link.transport)
+        return self._delivered
+
     def ended(self, how: How, reason: str) -> None:
         if self.open:
+            self.delivered()
             self.open, self._link = False, None
             self.on_end(how, reason)
 
@@ -249,10 +256,7 @@
     def send(self, exchange: Exchange) -> None:
         """Begin an exchange. `on_end` is never called from in here."""
         now = self.loop.time()
-        while self.idle:
-            rested = next((link for link in reversed(self.idle) if now - link.idle_since >= self.options.rest / 1e6), None)
-            if rested is None:
-                break
+        while rested := self._rested(now):
             self.idle.remove(rested)
             if now - rested.idle_since < self.options.idle / 1e6 and not rested.ended():
                 rested.begin(exchange)
@@ -265,6 +269,14 @@
         self._tasks[task] = exchange
         task.add_done_callback(lambda done: self._tasks.pop(done, None))
 
+    def _rested(self, now: float) -> _Link | None:
+        """The idle connection to use next; None where none has rested."""
+        return next((link for link in reversed(self.idle) if now - link.idle_since >= self.options.rest / 1e6), None)
+
+    def has_spare(self) -> bool:
+        """Whether an exchange would need no new connection."""
+        return self._rested(self.loop.time()) is not None
+
     async def _connect(self, exchange: Exchange) -> None:
         host, _, port = self.address.rpartition(":")
         link = _Link(self)
