Small writes to clients go out at once: TCP_NODELAY was never set on accepted connections

So the system held back small events to clients until the one before was confirmed, and a reset could take them along. rpc/http1.py and rpc/http1_client.py set it themselves.

--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -31,7 +31,7 @@
 
 from tuliptrack.decisions.gate import BODIES_FULL, Meter, refusal_text
 from tuliptrack.rpc.h1 import Body, Fields, Head, Part, ServerSide, Wrong
-from tuliptrack.rpc.tcp import ended_by_peer, has_unread
+from tuliptrack.rpc.tcp import ended_by_peer, has_unread, send_at_once
 
 __all__ = ["HttpCall", "HttpLimits", "HttpServer", "Refusal"]
 
@@ -170,6 +170,7 @@
         if not self.server.takes(self):
             transport.abort()
             return
+        send_at_once(transport)
         transport.set_write_buffer_limits(high=self.server.limits.pending_high)
         if (sock := transport.get_extra_info("socket")) is not None:  # The kernel's part is bounded too.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -19,7 +19,7 @@
 
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Answer, ClientSide, Done, Fields, Part, Wrong
-from tuliptrack.rpc.tcp import ended_by_peer, has_unconfirmed, stands
+from tuliptrack.rpc.tcp import ended_by_peer, has_unconfirmed, send_at_once, stands
 
 __all__ = ["ClientOptions", "Connections", "Exchange", "How", "Pool"]
 
@@ -133,6 +133,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        send_at_once(transport)
         transport.set_write_buffer_limits(high=0)  # `resume_writing` then tells that all is written.
 
     def resume_writing(self) -> None:
--- a/tuliptrack/rpc/tcp.py
+++ b/tuliptrack/rpc/tcp.py
@@ -8,7 +8,7 @@
 import socket
 import termios
 
-__all__ = ["ended_by_peer", "has_unconfirmed", "has_unread", "stands"]
+__all__ = ["ended_by_peer", "has_unconfirmed", "has_unread", "send_at_once", "stands"]
 
 _ESTABLISHED = 1
 _ENDED = frozenset({6, 7, 8, 9, 11})  # TIME_WAIT, CLOSE (after a reset), CLOSE_WAIT, LAST_ACK, CLOSING
@@ -36,6 +36,17 @@
     return _state(transport) in _ENDED
 
 
+def send_at_once(transport: asyncio.BaseTransport) -> None:
+    """Have small writes sent as they come. asyncio does so only where a socket names its protocol, which one that was accepted
+    from a plain listener does not."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and sock.family in (socket.AF_INET, socket.AF_INET6):
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:
+            pass  # It was reset meanwhile.
+
+
 def has_unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes have come that the loop has not read yet; False where the kernel can't tell."""
     return _waiting(transport, termios.FIONREAD)
