--- a/tests/relay/test_streams_in_time.py
+++ b/tests/relay/test_streams_in_time.py
@@ -1,4 +1,4 @@
-"""Events are passed on as they come: from an engine's write to a client's read, beside slow readers, silent engines, floods."""
+"""Events are passed on as they come, from an engine to a client, beside slow readers, silent engines and floods."""
 
 from __future__ import annotations
 
