--- a/tests/relay/test_discovery.py
+++ b/tests/relay/test_discovery.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from relay_world import Peer, Platform, Script, Seen, hangs, platform, reads, writes
+from relay_world import Peer, Platform, Script, Seen, delay_connections, hangs, platform, reads, writes
 from world import run, until
 
 from tuliptrack.interface import ServerState
@@ -83,15 +83,7 @@
 
 async def _late_connections(p: Platform, monkeypatch: pytest.MonkeyPatch) -> None:
     """Each connection to the agent comes up later than a call is waited for."""
-    loop = asyncio.get_running_loop()
-    connect: Callable[..., Awaitable[Any]] = loop.create_connection
-
-    async def late(made: Any, host: str, port: int, **more: Any) -> Any:
-        if p.agent.address.endswith(f":{port}"):
-            await asyncio.sleep(0.6)
-        return await connect(made, host, port, **more)
-
-    monkeypatch.setattr(loop, "create_connection", late)
+    delay_connections(monkeypatch, lambda port: 0.6 if port == p.agent.port else 0.0)
     for writer in list(p.agent._writers):
         writer.transport.abort()
 
--- a/tests/relay/test_gone.py
+++ b/tests/relay/test_gone.py
@@ -9,10 +9,9 @@
 import struct
 import time
 from collections.abc import Callable
-from typing import Any
 
 import pytest
-from relay_world import SETTINGS, Platform, Seen, Vanished, platform, reads, request, writes
+from relay_world import SETTINGS, Platform, Seen, Vanished, delay_connections, platform, reads, request, writes
 from world import run, until
 
 GONE_S = 0.1  # the platform's
@@ -96,19 +95,15 @@
     async def go() -> None:
         limits = {**SETTINGS["limits"], "cancel": may_cancel}
         async with platform({"settings": {"limits": limits}}, r0=reads, w0=writes) as p:
-            loop = asyncio.get_running_loop()
-            connect: Any = loop.create_connection
             connecting: list[int] = []
 
-            async def late(made: Any, host: str, port: int, **more: Any) -> Any:
+            def delay(port: int) -> float:
                 connecting.append(port)
-                await asyncio.sleep(0.2)
-                return await connect(made, host, port, **more)
+                return 0.2
 
-            monkeypatch.setattr(loop, "create_connection", late)
-            reader = int(p.engines["r0"].address.rpartition(":")[2])
+            delay_connections(monkeypatch, delay)
             sock = client(p, request("leaves"))
-            await until(lambda: reader in connecting)
+            await until(lambda: p.engines["r0"].port in connecting)
             leave(sock)
             await settled(p)
             assert not asked(p, "leaves")
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -9,6 +9,7 @@
 import re
 import signal
 from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -25,6 +26,7 @@
     Vanished,
     chunk,
     config,
+    delay_connections,
     hangs,
     platform,
     read_reply,
@@ -374,18 +376,15 @@
         obligations = {**SETTINGS["obligations"], "drainGrace": 200_000}
         async with platform({"settings": {"limits": limits, "obligations": obligations}}, r0=reads, w0=writes) as p:
             p.engines["r1"] = await Peer(reads).start()
-            loop = asyncio.get_running_loop()
-            connect: Any = loop.create_connection
-            port = int(p.engines["r0"].address.rpartition(":")[2])
             connecting = asyncio.Event()
 
-            async def slowly(made: Any, host: str, at: int, **more: Any) -> Any:
-                if at == port:
-                    connecting.set()
-                    await asyncio.sleep(0.6)
-                return await connect(made, host, at, **more)
+            def delay(port: int) -> float:
+                if port != p.engines["r0"].port:
+                    return 0.0
+                connecting.set()
+                return 0.6
 
-            monkeypatch.setattr(loop, "create_connection", slowly)
+            delay_connections(monkeypatch, delay)
             asking = asyncio.ensure_future(p.ask())
             await connecting.wait()
             p.tell(r0="Terminating")
@@ -407,19 +406,16 @@
         keyed = {**SETTINGS["classes"][0], "effect": "guarded", "keyScope": "zone", "dedupWindow": int(window * 1e6)}
         limits = {**SETTINGS["limits"], "connectTimeout": 2_000_000}
         loop = asyncio.get_running_loop()
-        connect: Any = loop.create_connection
         for late in (0.0, window + 0.2):
             async with platform({"settings": {"classes": [keyed], "limits": limits}}, m0=breaks, m1=breaks) as p:
                 waits = iter((0.0, *[late] * 9))
+                ports = [engine.port for engine in p.engines.values()]
 
-                ports = [int(engine.address.rpartition(":")[2]) for engine in p.engines.values()]
-
-                async def slowly(made: Any, host: str, port: int, waits: Any = waits, ports: Any = ports, **more: Any) -> Any:
-                    await asyncio.sleep(next(waits) if port in ports else 0)
-                    return await connect(made, host, port, **more)
+                def delay(port: int, waits: Iterator[float] = waits, ports: list[int] = ports) -> float:
+                    return next(waits) if port in ports else 0.0
 
                 with monkeypatch.context() as patch:
-                    patch.setattr(loop, "create_connection", slowly)
+                    delay_connections(patch, delay)
                     began = loop.time()
                     reply = await p.ask()
                 assert reply.status == 502, "it may have run"
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import pytest
+
 from tuliptrack.relay.__main__ import Relay
 from tuliptrack.relay.config import RelayConfig, parse
 
@@ -104,6 +106,10 @@
             self._writers.discard(writer)
             writer.close()
 
+    @property
+    def port(self) -> int:
+        return int(self.address.rpartition(":")[2])
+
     @property
     def live(self) -> int:
         """Connections that are open."""
@@ -120,6 +126,18 @@
         return [one for one in self.seen if one.method == method]
 
 
+def delay_connections(patch: pytest.MonkeyPatch, delay: Callable[[int], float]) -> None:
+    """Connections that this loop opens come up so many seconds late, told by the port that they go to."""
+    loop = asyncio.get_running_loop()
+    connect: Any = loop.create_connection
+
+    async def late(made: Any, host: str, port: int, **more: Any) -> Any:
+        await asyncio.sleep(delay(port))
+        return await connect(made, host, port, **more)
+
+    patch.setattr(loop, "create_connection", late)
+
+
 class Vanished(Peer):
     """An engine whose machine takes no connection and says nothing of it: its queue of them is full."""
 
