Any reader with room is looked at before a refusal

Seen by a test of the router (tests/test_recovery.py, failed before): with two nodes three jammed readers of ten refused every session of a prefix, with twenty and more five, beside idle ones. Line: Router._arrive asked the outlook of one reader among a prefix's first few, where the design refuses when all are past the threshold.

--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pytest
 from helpers import MS, READ, WRITE, S, World, fleet, only, server, world
 
 from tuliptrack.interface import Refuse, Role, Send, ServerState, Started, Status
@@ -124,3 +125,36 @@
     serve(w, number, home, read=100 * MS, waiting_k=80.0)
     assert only(Send, w.ask(cls=1, after=10 * MS, prefix=5, session=9)[1]).server != home
     assert only(Send, w.ask(cls=1, after=4 * S, prefix=5, session=9)[1]).server == home, "old word is no word"
+
+
+def served_at(w: World, jammed: set[int], session: int) -> int | None:
+    """The reader that serves one more request of the prefix; None where it is refused. The jammed ones report their queues."""
+    for one in jammed:
+        w.router.seats[one].told({"in_flight": 30.0, "tokens_waiting_k": 120.0}, w.now)
+    number, said = w.ask(after=30 * MS, prefix=77, session=session)
+    if any(isinstance(action, Refuse) for action in said):
+        return None
+    reader = only(Send, said).server
+    serve(w, number, reader, read=40 * MS, waiting_k=120.0 if reader in jammed else 0.0)
+    return reader
+
+
+def quiet(nodes: int) -> World:
+    """Ten idle readers whose speed is known, and a node that refuses nothing."""
+    w = world(fleet(readers=10, writers=6), replicas=nodes, report_fields=FIELDS)
+    for prefix in range(1_000, 1_012):
+        number, said = w.ask(after=50 * MS, prefix=prefix)
+        serve(w, number, only(Send, said).server, read=40 * MS)
+    return w
+
+
+@pytest.mark.parametrize("nodes", [2, 20, 200])
+def test_sessions_whose_homes_are_jammed_are_served_elsewhere_while_there_is_room(nodes: int) -> None:
+    """However many of the readers that a prefix may spill to are past the threshold, others are idle."""
+    w, homes = quiet(nodes), list[int]()
+    while len(homes) < 10:  # Each reader in turn is jammed as soon as the prefix goes there.
+        at = [served_at(w, set(homes), 5_000 + session) for session in range(6)]
+        assert None not in at, f"refused throughout with {10 - len(homes)} idle readers"
+        assert not set(homes) & set(at)
+        homes += [next(one for one in at if one is not None)]
+    assert served_at(w, set(homes), 5_000) is None
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -99,8 +99,7 @@
         """Take the events of one moment, in order; return the actions, in order."""
         self.now, self.out, self.born = now, [], self.born or now
         for event in events:
-            if type(event) in self.acts:
-                self.acts[type(event)](event)
+            self.acts.get(type(event), lambda _: None)(event)
         if now - self.looked_at > PACE_LOOK_US:
             self.looked_at = now
             self._look_at_paces()
@@ -158,11 +157,12 @@
             flight.hurried = True
             reader = self._pick_reader(flight)
             look = self._outlook(flight, reader)
-        if look > most / 2:  # On the way to a jam a turn at any cold reader is room, and would lapse.
+        if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any reader's is.
             open_to = self._pool(self._order(flight), flight, len(self.seats))
             near = [s for s in open_to if look > most or not self._abroad(s)]
-            if turn := next((s for s in near if self._cold_turn(s, flight)), None):
-                reader, look = turn, self._outlook(flight, turn)
+            turn = next((s for s in near if self._cold_turn(s, flight)), None)
+            if other := turn or (self._spill(flight, near, 1.0) if look > most else None):
+                reader, look = other, self._outlook(flight, other)
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left
