--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -64,12 +64,12 @@
         async with platform(r0=reads, w0=writes) as p:
             reply = await p.say(request(
                 "keyed", Idempotency_Key="k-77", Accept_Language="de, en", X_Name="J\u00f6rg", Cookie="a=1",
-                Connection="keep-alive, X-Hop", X_Hop="1", TE="trailers", Keep_Alive="timeout=5"))
+                Connection="keep-alive, X-Hop", X_Hop="1", TE="trailers", Keep_Alive="timeout=5", Accept_Encoding="gzip"))
             assert reply.status == 200 and reply.whole
             sent = {"idempotency-key": "k-77", "accept-language": "de, en", "x-name": "J\u00c3\u00b6rg", "cookie": "a=1"}
             for one in p.saw():
                 assert {name: one.head.get(name) for name in sent} == sent
-                assert not {"x-hop", "te", "keep-alive", "connection"} & one.head.keys()
+                assert not {"x-hop", "te", "keep-alive", "connection", "accept-encoding"} & one.head.keys()
             assert len(p.saw()) == 2
 
     run(go)
--- a/tests/relay/test_releases.py
+++ b/tests/relay/test_releases.py
@@ -152,6 +152,22 @@
     run(go)
 
 
+def test_engines_that_refuse_connections_are_not_tried_without_end() -> None:
+    async def go() -> None:
+        line = Timeline()
+        names = [f"r{n}" for n in range(6)]
+        engines: dict[str, Any] = dict.fromkeys(names, line.reader)
+        async with platform(None, **engines, w0=line.reader) as p:
+            for engine in p.engines.values():
+                await engine.stop()
+            before = p.relay.pools.connections.made
+            release(p, "nobody", "r0")
+            await asyncio.sleep(3 * ALLOWED_S)
+            assert 4 <= p.relay.pools.connections.made - before <= 19 + 3 * 4
+
+    run(go)
+
+
 def test_more_releases_at_once_than_may_be_tried_at_once_all_reach_an_engine() -> None:
     async def go() -> None:
         line = Timeline()
--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -19,10 +19,11 @@
 _STATUS = {Failure.DEADLINE: 504, Failure.BROKEN: 502, Failure.HANDED_BACK: 502, Failure.LOST: 502, Failure.STALLED: 502,
            Failure.UNUSABLE: 400}
 _ID = re.compile(r"[A-Za-z0-9._~-]{1,128}")
-# What a request's head says of one connection only (RFC 9110, section 7.6.1), and what the node says anew.
+# What a request's head says of one connection only (RFC 9110, section 7.6.1); what the node says anew, or has to read itself:
+# an engine's events are looked at, so they may not come compressed.
 _HOP_BY_HOP = frozenset({"connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
                          "proxy-authenticate", "proxy-authorization"})
-_SAID_ANEW = frozenset({"host", "x-call-id", "x-budget", "content-length", "expect"})
+_SAID_ANEW = frozenset({"host", "x-call-id", "x-budget", "content-length", "expect", "accept-encoding"})
 _ONCE = ("x-call-id", "x-call-class", "x-caller", "x-budget", "x-call-info")
 _LONGEST_S = 86_400.0  # a budget past a day is taken for a mistake
 _LEAST_ADVICE_S = 0.001
--- a/tuliptrack/relay/releases.py
+++ b/tuliptrack/relay/releases.py
@@ -3,9 +3,9 @@
 Any engine that runs lets go of what is held for a request, wherever it is held. So a release does not depend on the engine
 that holds the state. The first try goes to the engine that was heard from last of those with a connection to spare, since a
 new one costs its engine work. With every step more engines are tried at once, and a try whose connection is still coming up
-is not waited for. The time between two steps is a fixed part of the time that the settings
-allow (`within`): in that time `TRIES_AT_STEP` adds up to 19 tries. Past it the state is overdue, and tries go on at
-the pace of one step each `within`, until an engine confirms or `ABANDONED_AFTER_S` has passed.
+is not waited for. The time between two steps is a fixed part of the time that the settings allow (`within`), less where all
+tries of a step have failed. After `STEPS` of them, 19 tries, steps go on at the pace of one each `within`, until an engine
+confirms or `ABANDONED_AFTER_S` has passed.
 
 A read that was broken off may end well after a release was confirmed, so that a state comes to be held which nobody waits
 for. Such a release is made `UNSURE_ROUNDS` times, half of the time allowed apart.
@@ -126,7 +126,7 @@
         for server in self._targets(release, min(wanted, room)):
             self._try(release, server)
         release.step += 1
-        pause = self.within / STEPS if waited < self.within else self.within
+        pause = self.within / STEPS if release.step < STEPS else self.within
         release.timer = loop.call_later(pause, self._advance, release)
 
     def _targets(self, release: _Release, wanted: int) -> list[int]:
@@ -185,9 +185,9 @@
         self._advance(release)
 
     def _hurry(self, release: _Release) -> None:
-        """All tries of a step have failed before the next one is due: within the time allowed it comes at once."""
+        """All tries of a step have failed before the next one is due: it comes soon, as often as there are steps anyway."""
         loop = asyncio.get_running_loop()
-        if release.timer and loop.time() - release.began < self.within:
+        if release.timer and release.step < STEPS:
             release.timer.cancel()
             release.timer = loop.call_later(self.within / STEPS / HURRY, self._advance, release)
 
