Another reader is taken before a refusal only where it has clear room

A reader taken at the brink of the threshold reads anew what its home kept, and a jam spreads. Now it is taken where at most half of the threshold waits.

--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -73,8 +73,7 @@
 
     def __init__(self, settings: Settings, seed: int, beside: Router | None = None) -> None:
         """`beside` is this node's router of another model: quotas and zones' budgets are kept together."""
-        self.settings = settings
-        self.random = Random(seed)
+        self.settings, self.random = settings, Random(seed)
         self.now, self.born, self.refused_at, self.looked_at, self.arrived_at = 0, 0, -CALM_US, 0, 0
         self.out: list[Action] = []
         self.fleet = Fleet(settings.roles)
@@ -160,9 +159,10 @@
         if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any reader's is.
             open_to = self._pool(self._order(flight), flight, len(self.seats))
             near = [s for s in open_to if look > most or not self._abroad(s)]
-            turn = next((s for s in near if self._cold_turn(s, flight)), None)
-            if other := turn or (self._spill(flight, near, 1.0) if look > most else None):
-                reader, look = other, self._outlook(flight, other)
+            other = next((s for s in near if self._cold_turn(s, flight)), None) or (
+                self._spill(flight, near, 1.0) if look > most else None)
+            if other and ((seen := self._outlook(flight, other)) <= most / 2 or self._cold_turn(other, flight)):
+                reader, look = other, seen
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left
