--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -161,8 +161,8 @@
             near = [s for s in open_to if look > most or not self._abroad(s)]
             other = next((s for s in near if self._cold_turn(s, flight)), None) or (
                 self._spill(flight, near, 1.0) if look > most else None)
-            if other and ((seen := self._outlook(flight, other)) <= most / 2 or self._cold_turn(other, flight)):
-                reader, look = other, seen
+            if other and ((own := self._outlook(flight, other)) <= most / 2 or self._cold_turn(other, flight)):
+                reader, look = other, own
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left
