--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -156,13 +156,13 @@
             flight.hurried = True
             reader = self._pick_reader(flight)
             look = self._outlook(flight, reader)
-        if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any reader's is.
+        if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any idle one's.
             open_to = self._pool(self._order(flight), flight, len(self.seats))
             near = [s for s in open_to if look > most or not self._abroad(s)]
-            other = next((s for s in near if self._cold_turn(s, flight)), None) or (
+            seat = next((s for s in near if self._cold_turn(s, flight)), None) or (
                 self._spill(flight, near, 1.0) if look > most else None)
-            if other and ((own := self._outlook(flight, other)) <= most / 2 or self._cold_turn(other, flight)):
-                reader, look = other, own
+            if seat and (2 * (wait := self._outlook(flight, seat)) <= most or self._cold_turn(seat, flight)):
+                reader, look = seat, wait
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left
