A kept connection with requests that were read and wait for their turn makes no room

Found by a new test of the term on requests that were read and then closed with no answer: a client that sends many requests at once has some of them in the node while its connection counts as resting, and a new connection could close it over them. HttpServer._spare now passes over connections that have begun a request; the test fails without that.

--- a/tests/rpc/test_http1.py
+++ b/tests/rpc/test_http1.py
@@ -328,6 +328,31 @@
     run(go)
 
 
+def test_a_connection_with_a_request_that_was_read_and_waits_for_its_turn_makes_no_room() -> None:
+    """Its client has sent many requests at once; a new connection comes while some of them wait in the node."""
+    asks, spares = 40, []
+
+    async def go() -> None:
+        def handle(call: HttpCall) -> None:
+            call.respond(200, b"{}")
+            asyncio.get_running_loop().call_soon(lambda: spares.append(server._spare()))
+
+        server = HttpServer(handle, early, HttpLimits(connections=2))
+        await server.listen()
+        loop, sock = asyncio.get_running_loop(), await dial(server)
+        await loop.sock_sendall(sock, b"GET /a HTTP/1.1\r\nhost: x\r\n\r\n" * asks)
+        got = b""
+        while got.count(b"HTTP/1.1 200") < asks:
+            got += await asyncio.wait_for(loop.sock_recv(sock, 65_536), 5)
+        assert len(spares) == asks
+        assert all(spare is None for spare in spares[:asks - 8]), "requests were read: the connection stays"
+        assert server._spare() is not None, "none is left: it may make room"
+        sock.close()
+        await server.stop()
+
+    run(go)
+
+
 def test_nothing_is_sent_on_a_kept_connection_whose_peer_has_just_closed_it() -> None:
     """Its end has come, but the loop has not read it: what is sent there would end as a reset, which may have run."""
     async def go() -> None:
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -493,7 +493,9 @@
         if lingering := next(iter(self._lingering), None):
             return lingering
         silent = (link for link in self._new if not link.side.begun)
-        for links in (silent, self._new, self._free):
+        # A kept connection may have brought requests that were read and wait for their turn: it is not closed over them.
+        resting = (link for link in self._free if not link.side.begun)
+        for links in (silent, self._new, resting):
             if found := next((k for k in islice(links, _LOOKED_AT) if not has_unread(k.transport)), None):
                 return found
             if links is self._new and self._new:
