--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -6,6 +6,8 @@
 import contextlib
 import json
 import sys
+from pathlib import Path
+from typing import Any
 
 import click
 
@@ -71,3 +73,27 @@
     verdict = asyncio.run(play_day(scenario, keep, None if as_json else lambda text: click.echo(text, err=True)))
     click.echo(json.dumps(verdict, indent=1) if as_json else as_text(verdict))
     sys.exit(0 if verdict["kept"] else 1)
+
+
+@lab.command("fleet")
+@click.option("--nodes", default=350, help="Hollow nodes.")
+@click.option("--engines", default=3_400, help="Drawn engines.")
+@click.option("--processes", default=24, help="Processes that share the nodes.")
+@click.option("--list-servers", default=4, help="Processes that stand in for discovery.")
+@click.option("--rate", default=7.1, help="Requests a second of one node.")
+@click.option("--seconds", default=60.0, help="Of ordinary changes.")
+@click.option("--seed", default=1)
+@click.option("--router", default="", help="Module file whose Router decides, in place of the program's own.")
+@click.option("--json", "path", type=click.Path(dir_okay=False), help="File for the report.")
+def play_hollow_fleet(path: str | None, **options: Any) -> None:
+    """Play a fleet of hollow nodes before drawn engines: start, changes, a lost zone, new roles, a silent discovery."""
+    from tuliptrack.lab.hollow.fleet import FleetError, FleetPlan, play_fleet
+
+    try:
+        report = asyncio.run(play_fleet(FleetPlan(**options)))
+    except FleetError as error:
+        raise click.UsageError(f"--{str(error).replace('_', '-', 1)}") from None
+    text = json.dumps(report.as_dict(), indent=1)
+    if path:
+        Path(path).write_text(text + "\n")
+    click.echo(text)
--- /dev/null
+++ b/tuliptrack/lab/capacity/control.py
@@ -0,0 +1,142 @@
+"""What controllers, agents and the record of a fleet cost by the number of hosts, by bytes that were on the wire."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from pathlib import Path
+
+from tuliptrack.decisions.rollout import Phase, Plan, Record, Release, Stage
+from tuliptrack.fleet.ask import Unanswered, ask
+from tuliptrack.lab.capacity.node import NodeCosts
+from tuliptrack.lab.hollow.agents import HollowAgent
+from tuliptrack.lab.wire import Cut, Wire
+from tuliptrack.proto import rollout_pb2 as pb
+from tuliptrack.rpc.channel import Channel
+
+__all__ = ["Usage", "measure_control", "record_of", "usage"]
+
+STEADY_S = 4.0
+_TICKS = os.sysconf("SC_CLK_TCK")
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class Usage:
+    """Processor seconds and bytes of resident memory of a process, as the kernel counts them."""
+
+    def __init__(self, cpu_s: float, memory: int) -> None:
+        self.cpu_s, self.memory = cpu_s, memory
+
+
+def usage(pid: int) -> Usage:
+    """What a process has used so far."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return Usage((int(fields[11]) + int(fields[12])) / _TICKS, int(fields[21]) * _PAGE)
+
+
+def record_of(hosts: int, changed: float = 0.5) -> bytes:
+    """The record of a rollout in its middle, as it is written to each agent."""
+    names = [f"host-{n:04d}" for n in range(hosts)]
+    old, new = Release("a" * 64, "b" * 64), Release("c" * 64, "b" * 64)
+    stages = tuple(Stage(tuple(names[start : start + 25])) for start in range(0, hosts, 25))
+    plan = Plan(old, new, {name: f"zone-{n % 8}" for n, name in enumerate(names)}, stages)
+    record = Record(3, Phase.FORWARD, plan, 1, frozenset(names[: int(hosts * changed)]), "", Phase.NONE)
+    return json.dumps(record.as_dict()).encode()
+
+
+class _Hosts:
+    """Hollow agents, each behind a link that counts bytes, and a real controller as a process."""
+
+    def __init__(self, count: int, folder: Path) -> None:
+        self.folder = folder
+        self.agents = [HollowAgent(f"host-{n:04d}", record_of(count)) for n in range(count)]
+        self.links: list[Wire] = []
+        self.controller: asyncio.subprocess.Process
+        self.channel: Channel
+
+    async def __aenter__(self) -> _Hosts:
+        hosts = []
+        for number, agent in enumerate(self.agents):
+            link = Wire(await agent.start())
+            hosts.append({"name": agent.host, "zone": f"zone-{number % 8}", "agent": await link.start()})
+            self.links.append(link)
+        path = self.folder / "hosts.json"
+        path.write_text(json.dumps(hosts))
+        self.controller = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tuliptrack",
+            "fleet",
+            "serve",
+            "0",
+            str(path),
+            "--takeover",
+            "1",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        assert self.controller.stdout
+        self.channel = Channel(json.loads(await self.controller.stdout.readline())["address"])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.channel.close()
+        self.controller.kill()
+        await self.controller.wait()
+        for link in self.links:
+            await link.stop()
+        for agent in self.agents:
+            await agent.stop()
+
+    @property
+    def sent(self) -> int:
+        """Bytes from the controller to agents."""
+        return sum(link.passed[Cut.THERE] for link in self.links)
+
+    @property
+    def got(self) -> int:
+        """Bytes from agents to the controller."""
+        return sum(link.passed[Cut.BACK] for link in self.links)
+
+    async def settled(self) -> None:
+        """Wait until the controller acts and every agent holds what it has written."""
+        for _ in range(600):
+            try:
+                told = await ask(self.channel, "Fleet/State", pb.StateRequest(), pb.FleetState, 5_000_000)
+                if told.leads and all(agent.acceptor.mark > (1, 1) for agent in self.agents):
+                    return
+            except Unanswered:
+                pass
+            await asyncio.sleep(0.05)
+        raise TimeoutError("the controller never acted")
+
+
+async def measure_control(sizes: Iterable[int], costs: NodeCosts) -> None:
+    """A controller that takes over a record of so many hosts, and then looks at them."""
+    for hosts in sizes:
+        record = record_of(hosts)
+        costs.note("record.bytes", hosts, len(record))
+        with tempfile.TemporaryDirectory() as folder:
+            async with _Hosts(hosts, Path(folder)) as fleet:
+                await fleet.settled()
+                costs.note("takeover.bytes", hosts, fleet.sent + fleet.got)
+                await asyncio.sleep(0.5)
+                await _measure_steady(fleet, hosts, costs)
+
+
+async def _measure_steady(fleet: _Hosts, hosts: int, costs: NodeCosts) -> None:
+    before, began = usage(fleet.controller.pid), time.monotonic()
+    looks, sent, got = sum(a.looks for a in fleet.agents), fleet.sent, fleet.got
+    await asyncio.sleep(STEADY_S)
+    after, took = usage(fleet.controller.pid), time.monotonic() - began
+    looked = max(sum(a.looks for a in fleet.agents) - looks, 1)
+    costs.note("controller.core_share", hosts, (after.cpu_s - before.cpu_s) / took)
+    costs.note("controller.memory", hosts, after.memory)
+    costs.note("controller.looks_per_s", hosts, looked / took)
+    costs.note("look.bytes_out", hosts, (fleet.sent - sent) / looked)
+    costs.note("look.bytes_in", hosts, (fleet.got - got) / looked)
--- /dev/null
+++ b/tuliptrack/lab/capacity/processes.py
@@ -0,0 +1,196 @@
+"""What whole processes cost: a real node by its list, a real agent, and watches that bring nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+from tuliptrack.fleet.ask import ask
+from tuliptrack.lab.capacity.control import usage
+from tuliptrack.lab.capacity.node import NodeCosts
+from tuliptrack.lab.hollow.population import KINDS, Population
+from tuliptrack.proto import rollout_pb2 as pb
+from tuliptrack.rpc.channel import Channel
+
+__all__ = ["measure_agent", "measure_node_memory", "measure_watches"]
+
+WATCHED_S = 6.0
+WATCHERS = 20
+LOOKS_PER_S = 3.0  # three controllers, each once a second
+HOST_PROGRAM = "#!{python}\nimport json, time\nprint(json.dumps({{'address': '127.0.0.1:9'}}), flush=True)\ntime.sleep(600)\n"
+
+
+def _node_settings(population: Population) -> dict[str, Any]:
+    """A settings file of the platform for a node that knows these engines."""
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "seed": "1",
+        "limits": {"memory_mb": 256, "sockets": 1_024},
+        "known": {"revision": 1, "complete": True, "members": population.members()},
+        "settings": {
+            "classes": [
+                {
+                    "name": "chat",
+                    "importance": 1.0,
+                    "promise": 540_000,
+                    "deadline": 5_000_000,
+                    "effect": "free",
+                    "stream": True,
+                }
+            ],
+            "discovery": "automatic",
+            "failureDomains": [f"zone-{n}" for n in range(8)],
+            "hostTypes": list(KINDS),
+            "granularity": 4_000,
+            "projects": [{"name": f"t{n}", "quotaPerS": 7.2, "share": 1 / 450} for n in range(450)],
+            "limits": {
+                "cancel": True,
+                "connIdle": 15_000_000,
+                "connectTimeout": 250_000,
+                "maxRetryAfter": 500_000,
+                "mostTries": 4,
+                "openCap": 20_000,
+                "retryAfter": True,
+            },
+            "obligations": {
+                "answerSlack": 16_000,
+                "cold": 12_000_000,
+                "coldFrom": 0.25,
+                "drainGrace": 500_000,
+                "fall": 3_000_000,
+                "fallMultiple": 2.5,
+            },
+            "replicasOfMe": 350,
+            "slotNo": 0,
+            "reporting": {"fields": ["inflight", "x0"], "how": "piggyback"},
+            "specifics": {"dutyByKind": ["read", "write"], "letGoBy": 300_000, "resume": True},
+        },
+    }
+
+
+async def measure_node_memory(sizes: Iterable[int], costs: NodeCosts) -> None:
+    """Resident bytes of a real node on the platform that serves and knows so many engines."""
+    for engines in sizes:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "config.json"
+            path.write_text(json.dumps(_node_settings(Population(engines))))
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tuliptrack.relay",
+                stderr=asyncio.subprocess.PIPE,
+                limit=1 << 24,
+                env={**os.environ, "RELAY_CONFIG": str(path)},
+            )
+            assert process.stderr
+            said = b""
+            while b"serving" not in said:
+                said = await process.stderr.readline()
+                if not said:
+                    raise RuntimeError(f"the node ended with status {await process.wait()}")
+            costs.note("process.memory", engines, usage(process.pid).memory)
+            process.kill()
+            await process.wait()
+
+
+async def _worker(told: dict[str, Any]) -> tuple[asyncio.subprocess.Process, dict[str, Any]]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "tuliptrack.lab.hollow.worker",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    return process, await _say(process, told)
+
+
+async def _say(process: asyncio.subprocess.Process, told: dict[str, Any]) -> dict[str, Any]:
+    assert process.stdin and process.stdout
+    process.stdin.write(json.dumps(told).encode() + b"\n")
+    answer: dict[str, Any] = json.loads(await process.stdout.readline())
+    return answer
+
+
+async def measure_watches(costs: NodeCosts) -> None:
+    """Calls, bytes and processor time of a node whose list does not change and to which nothing comes."""
+    lists, started = await _worker({"role": "lists", "engines": 400})
+    nodes, _ = await _worker(
+        {
+            "role": "nodes",
+            "slots": list(range(WATCHERS)),
+            "replicas": WATCHERS,
+            "router": "",
+            "agent": started["address"],
+            "rate": 0.001,
+            "seed": 1,
+        }
+    )
+    try:
+        await asyncio.sleep(2.0)
+        before, used, began = await _say(lists, {"report": True}), usage(nodes.pid).cpu_s, time.monotonic()
+        await asyncio.sleep(WATCHED_S)
+        after, took = await _say(lists, {"report": True}), time.monotonic() - began
+        per = WATCHERS * took
+        moved = sum(after[name] - before[name] for name in ("bytes_in", "bytes_out"))
+        costs.note("watch.bytes_per_s", 1, moved / per)
+        costs.note("watch.calls_per_s", 1, (after["calls"] - before["calls"]) / per)
+        costs.note("watch.core_share", 1, (usage(nodes.pid).cpu_s - used) / per)
+    finally:
+        for process in (nodes, lists):
+            process.kill()
+            await process.wait()
+
+
+async def measure_agent(costs: NodeCosts) -> None:
+    """Processor time and memory of a real agent that three controllers look at, before a node that does nothing."""
+    with tempfile.TemporaryDirectory() as folder:
+        root = Path(folder) / "host"
+        (root / "settings").mkdir(parents=True)
+        (root / "settings" / "conf").write_text("")
+        (root / "programs" / "one").mkdir(parents=True)
+        program = root / "programs" / "one" / "run"
+        program.write_text(HOST_PROGRAM.format(python=sys.executable))
+        program.chmod(0o755)
+        agent = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tuliptrack",
+            "agent",
+            "h",
+            str(root),
+            "--program",
+            "one",
+            "--settings",
+            "conf",
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.DEVNULL,
+        )
+        assert agent.stdout
+        channel = Channel(json.loads(await agent.stdout.readline())["address"])
+        child = 0
+        try:
+            await asyncio.sleep(1.0)
+            used, began = usage(agent.pid).cpu_s, time.monotonic()
+            while time.monotonic() < began + WATCHED_S:
+                await ask(channel, "Agent/Look", pb.LookRequest(), pb.HostReport, 2_000_000)
+                await asyncio.sleep(1 / LOOKS_PER_S)
+            took = time.monotonic() - began
+            after = usage(agent.pid)
+            costs.note("agent.core_share", 1, (after.cpu_s - used) / took)
+            costs.note("agent.memory", 1, after.memory)
+            child = int(Path(f"/proc/{agent.pid}/task/{agent.pid}/children").read_text().split()[0])
+        finally:
+            await channel.close()
+            agent.kill()
+            await agent.wait()
+            if child:
+                os.kill(child, 9)
--- /dev/null
+++ b/tuliptrack/lab/hollow/agents.py
@@ -0,0 +1,75 @@
+"""Hollow agents of hosts: what controllers see of one, the acceptor included, without a node behind it."""
+
+from __future__ import annotations
+
+from tuliptrack.decisions.register import Acceptor
+from tuliptrack.proto import rollout_pb2 as pb
+from tuliptrack.rpc.server import Server, ServerCall, unary_request
+from tuliptrack.rpc.status import Code, Status
+
+__all__ = ["HollowAgent"]
+
+CLASSES = ("chat", "batch")
+MEASURES = ("refused", "failed", "broken", "late")
+
+
+class HollowAgent:
+    """Promises, holds records and reports as `fleet/agent.py` does; its node is drawn. `start`, then `stop`."""
+
+    def __init__(self, host: str, record: bytes = b"") -> None:
+        """`record` is what it holds from the beginning, under an epoch that no controller claims."""
+        self.host = host
+        self.acceptor = Acceptor(1, (1, 1), record) if record else Acceptor()
+        self.looks = 0
+        self.server = Server()
+        self.server.add("tuliptrack.v1.Agent", "Promise", unary_request(pb.PromiseRequest, self._promise))
+        self.server.add("tuliptrack.v1.Agent", "Accept", unary_request(pb.AcceptRequest, self._accept))
+        self.server.add("tuliptrack.v1.Agent", "Look", unary_request(pb.LookRequest, self._look))
+
+    async def start(self) -> str:
+        """Serve; returns host:port."""
+        return await self.server.listen("127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """End its connections."""
+        await self.server.stop(0)
+
+    def _answer(self, call: ServerCall, agreed: bool) -> None:
+        held = self.acceptor
+        call.send(
+            pb.AgentAnswer(
+                agreed=agreed,
+                promised=held.promised,
+                value=held.value,
+                mark=pb.Mark(epoch=held.mark[0], number=held.mark[1]),
+            ).SerializeToString()
+        )
+        call.end(Status(Code.OK))
+
+    def _promise(self, call: ServerCall, request: pb.PromiseRequest) -> None:
+        self._answer(call, self.acceptor.promise(request.epoch))
+
+    def _accept(self, call: ServerCall, request: pb.AcceptRequest) -> None:
+        self._answer(call, self.acceptor.accept((request.mark.epoch, request.mark.number), request.value))
+
+    def _look(self, call: ServerCall, request: pb.LookRequest) -> None:
+        self.looks += 1
+        report = pb.HostReport(
+            host=self.host,
+            obeyed=True,
+            promised=self.acceptor.promised,
+            ready=True,
+            ready_for=60_000_000 + self.looks,
+            life="1234abcd",
+            unled_for=0 if request.HasField("order") else 60_000_000,
+            address="127.0.0.1:7400",
+            changes=1,
+        )
+        report.release.program, report.release.settings = "a" * 64, "b" * 64
+        for number, name in enumerate(CLASSES):
+            for measure in MEASURES:
+                report.counts.add(
+                    request_class=name, measure=measure, count=1_000 * (number + 1) + self.looks, bad=number
+                )
+        call.send(report.SerializeToString())
+        call.end(Status(Code.OK))
--- /dev/null
+++ b/tuliptrack/lab/hollow/node.py
@@ -0,0 +1,127 @@
+"""A hollow node: the platform node's real discovery client, list and decisions in real time; clients and engines are drawn."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from tuliptrack.brain import Router
+from tuliptrack.interface import Event, ListKind, Outcome, Request, Role, Send, SetTimer, Started, Timer
+from tuliptrack.lab.hollow.population import KINDS, ROLES, node_settings
+from tuliptrack.lab.hollow.traffic import DrawnTraffic, Rates
+from tuliptrack.relay.discovery import Discovery, Members
+from tuliptrack.rpc.clock import now_us
+
+__all__ = ["HollowNode", "NodeReport"]
+
+ZONES = tuple(f"zone-{n}" for n in range(64))
+
+
+@dataclass(slots=True)
+class NodeReport:
+    """What one hollow node saw. Moments are seconds on the machine's monotonic clock."""
+
+    slot: int
+    taken: dict[int, float] = field(default_factory=dict)
+    """By revision of the list, when this node had it."""
+    longest_event_s: float = 0.0
+    list_s: float = 0.0
+    """Seconds spent on lists: parsed ones taken, the router told."""
+    decision_s: float = 0.0
+    """Seconds spent on events of requests."""
+    requests: int = 0
+    sends: int = 0
+    refusals: int = 0
+    cold_sends: list[tuple[int, float]] = field(default_factory=list)
+    """Engine and moment of each send to one in slow start."""
+
+
+class HollowNode:
+    """`start`, then `stop`; between them it asks `agent` for the list and serves drawn requests."""
+
+    def __init__(
+        self, slot: int, replicas: int, agent: str, rates: Rates, seed: int, make: Callable[..., Any] = Router
+    ) -> None:
+        self.settings = node_settings(replicas, slot)
+        self.router = make(self.settings, seed)
+        self.members = Members(KINDS, ZONES)
+        self.traffic = DrawnTraffic(rates, seed, self._role_of)
+        self.report = NodeReport(slot)
+        self.source = Discovery(
+            agent, lambda: max(self.members.revision, 0), self._listed, self.settings.drain_grace
+        )
+        self._random = Random(seed)
+        self._timers: set[asyncio.TimerHandle] = set()
+        self._last: tuple[ListKind, int] | None = None
+
+    def start(self) -> None:
+        """Ask for the list, and let requests come."""
+        self.source.start()
+        self._later(self.traffic.pause(), self._arrive)
+
+    async def stop(self) -> None:
+        """End every call and timer."""
+        for timer in self._timers:
+            timer.cancel()
+        await self.source.close()
+
+    def _role_of(self, server: int) -> Role:
+        seat = self.router.seats.get(server)
+        return seat.role if seat else ROLES[0]
+
+    def _listed(self, told: Any, first: bool) -> bool:
+        """As the platform's node takes a list: see `relay/__main__.py`."""
+        began = time.perf_counter()
+        change = self.members.take(told, anew=first)
+        if change is None:
+            return False
+        known, self._last = self._last, (change.kind, change.version)
+        if (known != self._last or first) and (change.kind is not ListKind.DELTA or change.servers):
+            self._tell(change)
+        took = time.perf_counter() - began
+        self.report.list_s += took
+        self.report.longest_event_s = max(self.report.longest_event_s, took)
+        self.report.taken.setdefault(self.members.revision, time.monotonic())
+        return True
+
+    def _arrive(self) -> None:
+        self._later(self.traffic.pause(), self._arrive)
+        self.report.requests += 1
+        self._decide(self.traffic.request())
+
+    def _decide(self, event: Event) -> None:
+        began = time.perf_counter()
+        self._tell(event)
+        took = time.perf_counter() - began
+        self.report.decision_s += took
+        self.report.longest_event_s = max(self.report.longest_event_s, took)
+
+    def _tell(self, event: Event) -> None:
+        now = now_us()
+        for action in self.router.handle(now, [event]):
+            if isinstance(action, Send):
+                self._sent(now, action)
+            elif isinstance(action, SetTimer):
+                self._later(action.delay, self._decide, Timer(action.token))
+            elif isinstance(event, Request | Outcome | Started):
+                self.report.refusals += type(action).__name__ == "Refuse"
+
+    def _sent(self, now: int, action: Send) -> None:
+        self.report.sends += 1
+        started = self.router.seats[action.server].info.started_at
+        if started and now < started + self.settings.cold_for:
+            self.report.cold_sends.append((action.server, now / 1e6))
+        for late, answer in self.traffic.answers(action):
+            self._later(late, self._decide, answer)
+
+    def _later(self, late: int, act: Callable[..., None], *arguments: Any) -> None:
+        def run() -> None:
+            self._timers.discard(handle)
+            act(*arguments)
+
+        handle = asyncio.get_running_loop().call_later(late / 1e6, run)
+        self._timers.add(handle)
--- /dev/null
+++ b/tuliptrack/lab/hollow/population.py
@@ -0,0 +1,106 @@
+"""Populations of drawn engines, as the platform's discovery lists them and as the decision module sees them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from tuliptrack.interface import RequestClass, Role, Server, Settings, Tenant
+
+__all__ = ["KINDS", "ROLES", "Population", "node_settings"]
+
+KINDS = ("reads", "writes")
+ROLES = (Role.READ, Role.WRITE)
+REQUESTS_PER_S = 2_500.0  # of the whole fleet at its peak
+PORTS = (20_000, 40_000)  # drawn engines are listed under these ports and never dialled
+
+
+@dataclass(frozen=True, slots=True)
+class Population:
+    """So many engines, spread evenly over zones and cells; every fourth one reads prompts."""
+
+    engines: int
+    zones: int = 8
+    cells: int = 200
+    readers_every: int = 4
+
+    def __post_init__(self) -> None:
+        if self.engines < 2 * self.readers_every:
+            raise ValueError(f"engines: at least {2 * self.readers_every}, got {self.engines}")
+        if not 1 <= self.zones <= self.engines:
+            raise ValueError(f"zones: must lie in [1, {self.engines}], got {self.zones}")
+
+    def kind(self, number: int) -> int:
+        """Index into `KINDS` of one engine."""
+        return 0 if number % self.readers_every == 0 else 1
+
+    def zone(self, number: int) -> int:
+        """Where one engine lies; readers and writers are spread alike."""
+        return number // self.readers_every % self.zones
+
+    def cell(self, number: int) -> int:
+        """Its rack."""
+        return number // self.readers_every % min(self.cells, self.engines // self.readers_every)
+
+    def servers(self) -> tuple[Server, ...]:
+        """The engines as the decision module is told of them, numbered from 1."""
+        return tuple(self.server(n) for n in range(self.engines))
+
+    def server(self, number: int, **changes: Any) -> Server:
+        """One engine as the decision module is told of it."""
+        told: dict[str, Any] = {
+            "kind": self.kind(number),
+            "cell": self.cell(number),
+            "zone": self.zone(number),
+        }
+        return Server(number + 1, **(told | changes))
+
+    def member(self, number: int, **changes: Any) -> dict[str, Any]:
+        """One entry of the platform's list."""
+        first, last = PORTS
+        entry = {
+            "id": f"s-{number:08x}",
+            "host_port": f"127.0.0.1:{first + number % (last - first)}",
+            "locality": f"zone-{self.zone(number)}",
+            "flavor": KINDS[self.kind(number)],
+            "cell": self.cell(number),
+            "phase": "Ready",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+        return entry | changes
+
+    def members(self) -> list[dict[str, Any]]:
+        """The whole list."""
+        return [self.member(n) for n in range(self.engines)]
+
+    def in_zone(self, zone: int) -> list[int]:
+        """Numbers of the engines of one zone."""
+        return [n for n in range(self.engines) if self.zone(n) == zone]
+
+
+def node_settings(replicas: int, slot: int = 0, tenants: int = 450) -> Settings:
+    """Settings of one node of such a fleet. Times are microseconds."""
+    return Settings(
+        replicas=replicas,
+        slot=slot,
+        roles=ROLES,
+        max_attempts=4,
+        may_cancel=True,
+        may_advise_retry=True,
+        classes=(
+            RequestClass("chat", 1.0, 540_000, 5_000_000, aim_per_1000_tokens=60_000.0, token_aim=70_000.0),
+            RequestClass(
+                "batch", 2.0, 1_200_000, 12_000_000, aim_per_1000_tokens=60_000.0, token_aim=70_000.0
+            ),
+        ),
+        tenants=tuple(Tenant(f"t{n}", 1 / tenants, 1.3 * REQUESTS_PER_S / tenants) for n in range(tenants)),
+        over_share_worth=0.1,
+        drain_grace=500_000,
+        cold_for=12_000_000,
+        cold_from=0.25,
+        fall_multiple=2.5,
+        fall_window=3_000_000,
+        max_retry_after=2_000_000,
+        report_fields=("in_flight", "memory_share", "tokens_waiting_k"),
+    )
--- a/tuliptrack/lab/wire.py
+++ b/tuliptrack/lab/wire.py
@@ -33,6 +33,8 @@
         self.cut = Cut.NOTHING
         self.closed_to_new = False
         """New connections are taken and never passed on: half open from their first moment."""
+        self.passed = {Cut.THERE: 0, Cut.BACK: 0}
+        """Bytes that have come through, each way."""
         self._changed = asyncio.Event()
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
@@ -95,6 +97,7 @@
             while way in self.cut:
                 await self._changed.wait()
             writer.write(data)
+            self.passed[way] += len(data)
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
