--- a/tuliptrack/lab/capacity/control.py
+++ b/tuliptrack/lab/capacity/control.py
@@ -75,8 +75,6 @@
             "serve",
             "0",
             str(path),
-            "--takeover",
-            "1",
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.DEVNULL,
         )
