Decisions and list changes on indexes: their cost follows a node's traffic, not the fleet

What: the server list keeps sorted members, grouped values of reported memory, the servers with waiting attempts, running answers, tokens, blame or a recent start, and sizes as exact sums; a change mends them. The writer is found among those with own streams, the others being counted by groups; paces of all servers are one fading sum; hash orders come from one large integer of all readers' hashes. Ties are settled by one draw instead of one for each server.

--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -315,6 +315,20 @@
             self.do(self.engines.send, call, True)
             self.read_ends(call, False)
 
+    @rule(prefix=st.integers(1, 3))
+    def a_read_breaks_and_the_next_connection_comes_up_late(self, prefix: int) -> None:
+        """What may have run is tried anew, on a connection that comes up when the window for repeats is over."""
+        self.ask(BUDGETS_US[-1], prefix)
+        for breaks in (True, False):
+            call = next((call for call in self.out(sent=False) if call.record.id == max(self.engines.lives)), None)
+            if call is None:
+                return
+            if not breaks:
+                self.time_passes(0.21)
+            self.do(self.engines.send, call, True)
+            if breaks:
+                self.do(call.end, Ended(io.Status.RESET, "failed", received=True))
+
     @precondition(lambda self: self.waiting())
     @rule(number=st.integers(0, 9), unread=st.booleans())
     def client_leaves(self, number: int, unread: bool) -> None:
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from random import Random
 from typing import Any
 
@@ -19,14 +19,16 @@
     Action, Cancel, ClientGone, Effect, Event, Fail, FleetChange, HandBack, KeyScope, ListKind, Log, Outcome,
     Refuse, Release, Request, Role, Send, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
-from tuliptrack.state import Asked, Blame, Fleet, Flight, Kind, Seat, median_low, mix
+from tuliptrack.state import (
+    Asked, Blame, Candidates, Fleet, Flight, Kind, Loads, Seat, any_of, least_of, median_low,
+)
+from tuliptrack.structures.rendezvous import mix, rendezvous_score
 
 QUEUE_THRESHOLD = 0.5  # share of the aim that a queue may take; past it a home spills, and all past it refuse
 SPILL_HOMES = 3  # readers in a prefix's hash order to spill among, the last home counted
 HOME_SHARE = 0.28  # at most this share of the readers are a prefix's homes: nodes see little of their queues
 HOT_SPARE = 2.0  # times a prefix's part of what this node was asked is its homes' part of the readers
 CARRIED_US = 20_000_000  # microseconds in which tokens given to a role fade: some tens of requests
-ORDERS_KEPT = 1000  # keys whose hash order is kept; sessions without a prefix pass through here too
 LOW_TIER = 0.5  # share of the threshold at which low worth is refused (the design's figure)
 TOP_TIER = 1.6  # times the threshold at which top worth is refused too: past it most would only be late
 SMOOTHING = 0.2  # weight of a new sample in an average: about the last five reads, a second's worth
@@ -76,13 +78,13 @@
         self.settings, self.random = settings, Random(seed)
         self.now, self.born, self.refused_at, self.looked_at, self.arrived_at = 0, 0, -CALM_US, 0, 0
         self.out: list[Action] = []
-        self.fleet = Fleet(settings.roles)
+        self.fleet = Fleet(settings.roles, bool(settings.zone_budgets))
         self.seats, self.asked = self.fleet.seats, Asked()
         self.flights: dict[int, Flight] = {}
         self.quota: dict[int, tuple[float, int]] = beside.quota if beside else {}
         # What answers of a role have shown; those of other zones apart, where crossings are counted.
         self.kinds = {(role, far): Kind(deque(maxlen=TYPICAL_OF)) for role in Role for far in (False, True)}
-        self.quotas = sum(t.quota_per_s for t in settings.tenants)  # what this fleet is built for
+        self.quotas = self.whole_quotas = sum(t.quota_per_s for t in settings.tenants)  # what all can do
         self.gap, self.unseen = 0.0, 1 - 1 / settings.replicas  # the part of all traffic that others see
         self.noted: set[str] = set()
         self.acts: dict[type, Callable[[Any], None]] = {
@@ -112,11 +114,12 @@
             return
         if change.kind is ListKind.CACHED and self.settings.must_subscribe:
             self.out.append(Subscribe(True))
-        for server in self.fleet.apply(change):
+        changed = self.fleet.apply(change, self.now, PACE_US)
+        for server in changed.forgotten:
             self.noted -= {f"server {server} suspect", f"server {server} drags"}
-        self.quotas = change.part * sum(t.quota_per_s for t in self.settings.tenants)
-        for seat in self.seats.values():
+        for seat in changed.seats:
             seat.kind = self.kinds[seat.role, self._abroad(seat)]
+        self.quotas = change.part * self.whole_quotas
         if self.zones:
             self.zones.begin(self.now)
         self._note_zones()
@@ -157,10 +160,10 @@
             reader = self._pick_reader(flight)
             look = self._outlook(flight, reader)
         if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any idle one's.
-            open_to = self._pool(self._order(flight), flight, len(self.seats))
-            near = [s for s in open_to if look > most or not self._abroad(s)]
-            seat = next((s for s in near if self._cold_turn(s, flight)), None) or (
-                self._spill(flight, near, 1.0) if look > most else None)
+            open_to = self._open_to(Role.READ, flight)
+            turns = [s for s in open_to.turns if look > most or not self._abroad(s)]
+            seat = min(turns, default=None, key=lambda s: self._place(flight, s)) or (
+                self._spill(flight, list(open_to), 1.0) if look > most else None)
             if seat and (2 * (wait := self._outlook(flight, seat)) <= most or self._cold_turn(seat, flight)):
                 reader, look = seat, wait
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
@@ -194,19 +197,20 @@
         can't hide a jam where it would; a turn at a cold one is room; waiting states show late in reports."""
         writer = self._pick_writer(flight) if reader and reader.role is Role.READ else None
         queue, typical = self._queue_us(reader) if reader else 0.0, 0.0
-        queue += writer.open_work * self._us_per_token(writer) if writer else 0.0
+        queue += writer.open_work * writer.us_per_token(self.now) if writer else 0.0
         far = reader is not None and self._abroad(reader)
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
         # A node with a request a second has hardly any own work open: its last reports and answers stand in,
         # and the ages of attempts out, as no answer comes of a jam; the median, lest one silent server do.
         for role in roles:
             kind = self.kinds[role, far]
-            olds = [self._oldest(s) for s in self.fleet.ready(role) if s.kind is kind]
+            ages = [self.now - old.sent for s, old in self.fleet.oldest(role) if s.kind is kind]
             fresh = max(0.0, 1 - (self.now - kind.told_at) / TYPICAL_US)
             waits = kind.waiting  # A queue just reported by the very reader tells more than its peers'.
-            waits += (reader.waiting - waits) * self._fresh(reader) if reader and reader.role is role else 0.0
+            if reader and reader.role is role:
+                waits += (reader.waiting - waits) * reader.fresh(self.now, REPORT_LIFE_US)
             told = TYPICAL_WEIGHT * self.unseen**2 * (waits + kind.work) * kind.us_per_token
-            aged = self.unseen**AGES_POWER * median_low([0, *(self.now - old.sent for old in olds if old)])
+            aged = self.unseen**AGES_POWER * median_low([0, *ages])
             typical += max(fresh * (told + kind.full * flight.aim), aged)
         return queue if reader and self._cold_turn(reader, flight) else max(queue, typical)
 
@@ -224,7 +228,8 @@
             return None
         # A session stays at one of its prefix's homes, whichever node it comes through; a turn would lapse.
         homes = [s for s in seats[:count] if not self._abroad(s)] or seats[:count]
-        home = max(homes, key=lambda s: (self._cold_turn(s, flight), self._rank(request.session, s)))
+        home = max(homes, key=lambda s: (
+            self._cold_turn(s, flight), rendezvous_score(request.session, s.info.id, s.info.weight)))
         if self._queue_us(home) <= QUEUE_THRESHOLD * flight.aim:
             return home
         far = [s for s in self._far(flight) if s not in seats] if self.zones else []
@@ -233,9 +238,12 @@
     def _spill(self, flight: Flight, seats: list[Seat], priced: float) -> Seat | None:
         """The lowest score; a reader of another zone scores worse by the price of what would cross."""
         def score(seat: Seat) -> float:
-            return (self._depth(seat) + 1) * self._latency(seat) * (1 + priced * self._price(flight, seat))
+            price = self._price(flight, seat.info.zone, seat.role is not Role.READ)
+            depth = seat.standing(self.now, REPORT_LIFE_US, self.has_depth)
+            return (depth + 1) * seat.usual_latency(self.now) * (1 + priced * price)
 
-        return min(seats, default=None, key=lambda s: (score(s), self.random.random()))
+        # Nodes that know equally little must not all choose one server: ties go by the node's own chance.
+        return any_of(least_of(seats, score), self.random)
 
     def _far(self, flight: Flight) -> list[Seat]:
         """Readers of other zones among which to spill, in this prefix's hash order."""
@@ -245,101 +253,97 @@
         """Whether a server lies in another zone, where crossings are counted."""
         return self.zones is not None and seat.info.zone != self.settings.zone
 
-    def _crossing(self, flight: Flight, seat: Seat) -> float:
+    def _crossing(self, flight: Flight, zone: int, writes: bool) -> float:
         """Bytes that an attempt there would move between zones: prompt, state, and the answer back."""
-        if self.zones is None:
-            return 0.0
-        held = flight.held.info.zone if flight.held and seat.role is not Role.READ else None
-        return self.zones.size(flight.request, seat.info.zone, held, seat.role is not Role.READ, flight.cost)
+        assert self.zones
+        held = flight.held.info.zone if flight.held and writes else None
+        return self.zones.size(flight.request, zone, held, writes, flight.cost)
 
-    def _price(self, flight: Flight, seat: Seat) -> float:
+    def _price(self, flight: Flight, zone: int, writes: bool) -> float:
         if self.zones is None:
             return 0.0
-        size, worth = self._crossing(flight, seat), flight.cls.worth / self.top_worth
+        size, worth = self._crossing(flight, zone, writes), flight.cls.worth / self.top_worth
         return self.zones.price(self.now, flight.request.cls, size, worth)
 
-    def _order(self, flight: Flight) -> list[Seat]:
-        """The ready readers in this prefix's hash order, kept until the list changes: ranking is dear."""
-        key, orders = flight.request.prefix or flight.request.session, self.fleet.orders
-        if key not in orders:
-            if len(orders) >= ORDERS_KEPT:
-                orders.clear()
-            orders[key] = sorted(self.fleet.ready(Role.READ),
-                                 key=lambda s: (self._abroad(s), -self._rank(key, s)))
-        return orders[key]
-
-    def _rank(self, key: int, seat: Seat) -> float:
-        """Weighted rendezvous: every node ranks alike, and a change of the list moves few keys."""
-        share = (mix(key ^ mix(seat.info.id)) + 1) / (2**64 + 1)
-        return seat.info.weight / -math.log(share)
-
-    def _depth(self, seat: Seat) -> float:
-        """What stands there: by the last report, and of this node's own. A mixed server's running answers
-        count as its reports count them, since each read there slows all of them."""
-        own = len(seat.running) if seat.role is Role.BOTH and not self.has_depth else 0
-        return seat.depth * self._fresh(seat) + len(seat.open) + own
+    def _order(self, flight: Flight) -> Collection[Seat]:
+        """The ready readers in this prefix's hash order, those of this zone first."""
+        order = self.fleet.readers().ranking(flight.request.prefix or flight.request.session)
+        return sorted(order, key=self._abroad) if self.zones else order
+
+    def _place(self, flight: Flight, seat: Seat) -> tuple[bool, float]:
+        """Of one reader in this order: the least is the first."""
+        key = flight.request.prefix or flight.request.session
+        return self._abroad(seat), -rendezvous_score(key, seat.info.id, seat.info.weight)
 
     def _queue_us(self, seat: Seat) -> float:
         """Microseconds in which the tokens that wait there are worked off, at the speed seen here. So
         the threshold fits fast and slow servers, long and short prompts; slowness alone is no overload."""
         # Each read at a mixed server slows the answers that run there: they count like reads that wait.
-        others = (self._depth(seat) - len(seat.open)) * seat.busy_tokens / self.settings.replicas
-        others = others if seat.role is Role.BOTH else self.unseen**2 * seat.waiting * self._fresh(seat)
-        return max(seat.open_work, others) * self._us_per_token(seat)
-
-    def _us_per_token(self, seat: Seat) -> float:
-        """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
-        oldest = self._oldest(seat)
-        seen = seat.busy_us / seat.busy_tokens if seat.busy_tokens else seat.kind.us_per_token
-        return max(seen, (self.now - seat.busy_from) / oldest.work) if oldest else seen
-
-    def _oldest(self, seat: Seat) -> Flight | None:
-        return next(iter(seat.open.values()), None)
-
-    def _fresh(self, seat: Seat) -> float:
-        """How much a report still counts: a server that gets no sends sends no new ones."""
-        return max(0.0, 1 - (self.now - seat.told_at) / REPORT_LIFE_US)
-
-    def _latency(self, seat: Seat) -> float:
-        """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
-        oldest = self._oldest(seat)
-        return max(seat.latency or seat.kind.latency, self.now - oldest.sent if oldest else 0, 1)
+        others = self.unseen**2 * seat.waiting * seat.fresh(self.now, REPORT_LIFE_US)
+        if seat.role is Role.BOTH:
+            depth = seat.standing(self.now, REPORT_LIFE_US, self.has_depth)
+            others = (depth - len(seat.open)) * seat.busy_tokens / self.settings.replicas
+        return max(seat.open_work, others) * seat.us_per_token(self.now)
 
     # -- the second stage: a writer
 
     def _pick_writer(self, flight: Flight) -> Seat | None:
-        pool = self._pool(self.fleet.ready(Role.WRITE), flight, len(self.seats))
-        if not pool:
+        """The fewest projected own tokens. Servers with none of this node's are only counted, by groups."""
+        fleet, open_to = self.fleet, self._open_to(Role.WRITE, flight)
+        if not open_to:
             return None
         # Little is known of the memory of servers abroad: those at home are compared with each other.
-        zones = {s.info.zone: s for s in pool} if self.zones else {}
-        prices = {zone: self._price(flight, s) for zone, s in zones.items()}
-        home = [s for s in pool if not prices[s.info.zone]] if prices else pool
-        bound = median_low(s.memory for s in home or pool) + MEMORY_ABOVE
-        loads = self._loads([s for s in pool if s.memory <= bound])
+        zoned = fleet.memory.counts(math.inf, open_to.barred) if self.zones else {}
+        prices = {group: self._price(flight, group[1], True) for group, n in zoned.items() if n}
+        home = [group for group, price in prices.items() if not price]
+        bound = fleet.memory.low_median(open_to.barred, home or None) + MEMORY_ABOVE
+        idle = {group: n for group, n in fleet.memory.counts(bound, open_to.barred).items() if n}
+        loads = Loads(idle, {role: self.kinds[role, False].carry(0.0, self.now, CARRIED_US) / fleet.size(role)
+                             for role in {role for role, _ in idle}})
+        for seat in fleet.loaded.values():
+            if seat in open_to and seat.memory <= bound:
+                loads.add(seat, fleet.group(seat))
         if any(prices.values()):  # A crossing weighs so many mean loads more.
-            mean = max(sum(loads.values()) / len(loads), flight.cost)
-            loads = {i: load + mean * prices[self.seats[i].info.zone] for i, load in loads.items()}
-        most = min(loads.values()) + NEAR_TIE * sum(loads.values()) / len(loads)
-        near = [s for s in pool if loads.get(s.info.id, math.inf) <= most]
+            loads.raise_by(max(loads.mean, flight.cost), prices)
+        least = loads.least
+        most = least + NEAR_TIE * loads.mean
+
+        def load(seat: Seat) -> float:
+            """Infinite where a state may not go."""
+            fits = seat in open_to and seat.memory <= bound
+            return loads.of(seat, fleet.group(seat)) if fits else math.inf
+
         cell = flight.held.info.cell if flight.held else None
         # A cell's writers get no more of its reads than they can take, by the list: the rest would jam them.
-        if cell is not None and (reads := self.fleet.cell_part(Role.READ, cell)):
-            cell = cell if self.random.random() < self.fleet.cell_part(Role.WRITE, cell) / reads else None
-        # Nodes that know equally little must not all choose one server: ties go by the node's own chance.
-        return min(near, key=lambda s: (not self._cold_turn(s, flight), s.info.cell != cell, loads[s.info.id],
-                                        self.random.random()))
-
-    def _loads(self, seats: list[Seat]) -> dict[int, float]:
-        """Projected own tokens there, and what all of its role get from this node, each by the list's sizes:
-        a mixed server that has reads of its own takes a state only where writers are as full."""
-        roles = {role: self.kinds[role, False].carry(0.0, self.now, CARRIED_US) / self.fleet.size(role)
-                 for role in {s.role for s in seats}}
-        return {s.info.id: s.tokens / max(s.info.weight, 1e-6) + roles[s.role] for s in seats}
+        if cell is not None and (reads := fleet.cell_part(Role.READ, cell)):
+            cell = cell if self.random.random() < fleet.cell_part(Role.WRITE, cell) / reads else None
+        near = [s for s in open_to.turns if load(s) <= most]
+        if not near and cell is not None and len(fleet.cell(cell)) < len(open_to.ready):
+            near = [s for s in fleet.cell(cell) if load(s) <= most]
+        if not near:
+            others, loaded = loads.idle_at(least), [self.seats[server] for server in loads.loaded_at(least)]
+            if not others:
+                return any_of(loaded, self.random)
+            return open_to.draw(lambda s: load(s) == least, others + len(loaded), self.random)
+        return any_of(least_of(near, lambda s: (s.info.cell != cell, load(s))), self.random)
 
     # -- health and guards, one notion for both stages
 
-    def _pool(self, seats: list[Seat], flight: Flight, most: int) -> list[Seat]:
+    def _open_to(self, role: Role, flight: Flight) -> Candidates:
+        """The ready servers of a role where this request may go: suspects only where nothing else is left."""
+        ready, fleet = self.fleet.ready(role), self.fleet
+        cold = fleet.cold(role, self.now - self.settings.cold_for)
+        turns = {s.info.id: self._cold_turn(s, flight) for s in cold}
+        barred = {server for server in flight.tried if server in ready}
+        barred.update(server for server, turn in turns.items() if turn is None)
+        if flight.effect is not None and flight.cls.effect is not Effect.SAFE:
+            barred.update(s.info.id for s in ready if not self._in_group(flight, s))
+        looked_at = ready if self.zones and self.returns.back else fleet.blamed(role)
+        poor = {s.info.id for s in looked_at if not self._usable(s, flight)} | barred
+        barred = poor if len(poor) < len(ready) else barred
+        return Candidates(ready, barred, [s for s in cold if s.info.id not in barred])
+
+    def _pool(self, seats: Iterable[Seat], flight: Flight, most: int) -> list[Seat]:
         """The first of these where this request may go: suspects only where nothing else is left."""
         fit: list[Seat] = []
         poor: list[Seat] = []
@@ -372,7 +376,7 @@
         if known and sent < known.at:
             return  # Many attempts break at once when a process dies: they count as one failure.
         fails = known.fails + 1 if known else 1
-        seat.blamed[key] = Blame(fails, self.now, self.now + self._trial_wait(fails))
+        self.fleet.blame(seat, key, Blame(fails, self.now, self.now + self._trial_wait(fails)))
         if key == _ALL:
             self._note_zones()
         self._note(f"server {seat.info.id} suspect", True)
@@ -387,42 +391,35 @@
 
     def _ran(self, seat: Seat, flight: Flight, whole: bool) -> None:
         """An answer that had started is over; one no longer than usual clears its server of dragging."""
-        seat.ran(self.now, PACE_US, whole)
-        took = self.now - seat.running.pop(flight.request.id)
-        if whole and _PACE in seat.blamed:
-            ends, ran_us = self._paces()
-            if took * ends < PACE_RATIO * ran_us:
-                del seat.blamed[_PACE]
-                self._note(f"server {seat.info.id} drags", False)
-
-    def _paces(self) -> tuple[float, float]:
-        """How many answers have ended lately at all writers, and how long answers have run there."""
-        return sum(s.ends for s in self.seats.values()), sum(s.ran_us for s in self.seats.values())
+        took, pace = self.fleet.end(seat, flight.request.id, self.now, PACE_US, whole), self.fleet.pace
+        if whole and _PACE in seat.blamed and took * pace.ends < PACE_RATIO * pace.ran_us:
+            del seat.blamed[_PACE]
+            self._note(f"server {seat.info.id} drags", False)
 
     def _look_at_paces(self) -> None:
         """Find servers that begin answers in time but drag them out. The evidence: how few have ended there
         for the time that they have run, against its peers in the same seconds; a common slowness is nobody's.
         Nothing new goes there but trials; what runs there is handed back, to be resumed elsewhere. Not while
         this node refuses: then even a slow server is missed."""
-        for seat in self.seats.values():
-            seat.ran(self.now, PACE_US)
         if self.now - self.refused_at < CALM_US:
             return
-        ends, ran_us = self._paces()
-        dragging = sum(_PACE in s.blamed for s in self.fleet.ready(Role.WRITE))
-        for seat in self.seats.values():
-            others, peers = ends - seat.ends, ran_us - seat.ran_us
-            if not seat.running or others < PACE_ENDS or peers <= 0:
+        self.fleet.pace.advance(self.now, PACE_US)
+        ends, ran_us = self.fleet.pace.ends, self.fleet.pace.ran_us
+        dragging = sum(_PACE in s.blamed for s in self.fleet.blamed(Role.WRITE))
+        for seat in [self.seats[server] for server in sorted(self.fleet.running)]:
+            seat.pace.advance(self.now, PACE_US)
+            others, peers = ends - seat.pace.ends, ran_us - seat.pace.ran_us
+            if others < PACE_ENDS or peers <= 0:
                 continue
-            usual = seat.ran_us * others / peers
-            sure = usual * (1 - 1 / PACE_RATIO) - seat.ends * math.log(PACE_RATIO) >= PACE_SURE
+            usual = seat.pace.ran_us * others / peers
+            sure = usual * (1 - 1 / PACE_RATIO) - seat.pace.ends * math.log(PACE_RATIO) >= PACE_SURE
             if not sure or (_PACE not in seat.blamed
                             and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE))):
                 continue
             fails = min(seat.blamed[_PACE].fails + 1, 4) if _PACE in seat.blamed else 2
-            seat.blamed[_PACE] = Blame(fails, self.now, self.now + self._trial_wait(fails))
+            self.fleet.blame(seat, _PACE, Blame(fails, self.now, self.now + self._trial_wait(fails)))
             self._note(f"server {seat.info.id} drags", True)
-            seat.ends = seat.ran_us = 0.0
+            self.fleet.forget_pace(seat, self.now, PACE_US)
             if self.settings.may_resume:
                 self.out.extend(HandBack(request_id) for request_id in seat.running)
 
@@ -438,8 +435,8 @@
         if left <= 0 or not window or jammed:
             return 0
         # The oldest attempt out at each peer counts with the answers: a common slowness shows there first.
-        olds = [old for s in self.fleet.ready(seat.role) if (old := self._oldest(s))]
-        paces = sorted([*kind.paces, *((self.now - old.sent) / old.aim for old in olds)])
+        ages = ((self.now - old.sent) / old.aim for _, old in self.fleet.oldest(seat.role))
+        paces = sorted([*kind.paces, *ages])
         slow = paces[-len(paces) // 5]
         # Few nodes see much: there what is queued explains a wait, and patience is longer.
         wait = max(SILENCE_FLOOR / max(self.unseen, 0.5) ** 0.75, SILENCE_RATIO * slow) * flight.aim
@@ -496,15 +493,15 @@
         flight.attempts += 1
         flight.work = max(request.prompt_tokens, 1.0) if flight.held else flight.unread
         seat.turn = self._cold_turn(seat, flight) or seat.turn
-        seat.take(flight, self.now)
+        self.fleet.take(seat, flight, self.now)
         if seat.role is not Role.READ:
-            seat.tokens += flight.cost
+            self.fleet.load(seat, flight.cost)
             self.kinds[seat.role, False].carry(flight.cost, self.now, CARRIED_US)
         for key in (_PACE, *self._keys(flight)) if seat.blamed else ():
             if key in seat.blamed:  # This is its trial: the next waits anew.
                 seat.blamed[key].until = self.now + self._trial_wait(seat.blamed[key].fails)
-        cause = self.zones.reserve(self.now, request.id, request.cls, self._crossing(flight, seat),
-                                   bool(flight.tried)) if self.zones else None
+        cause = self.zones.reserve(self.now, request.id, request.cls, self._crossing(
+            flight, seat.info.zone, seat.role is not Role.READ), bool(flight.tried)) if self.zones else None
         self.out.append(Send(request.id, seat.info.id, self._patience(flight, seat), cause))
 
     def _started(self, event: Started) -> None:
@@ -512,9 +509,8 @@
         if flight is None or flight.at is None:
             return
         flight.started = True
-        flight.at.ran(self.now, PACE_US)
-        flight.at.running[event.id] = self.now
-        if flight.at.off(flight):
+        self.fleet.begin(flight.at, event.id, self.now, PACE_US)
+        if self.fleet.off(flight.at, flight):
             self._good(flight.at, event.latency, flight)
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
@@ -548,7 +544,7 @@
             self.zones.settle(self.now, event.id, event.crossed)
         told = self.seats.get(event.server)
         if told and event.load:
-            told.told(dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
+            self.fleet.told(told, dict(zip(self.settings.report_fields, event.load, strict=False)), self.now)
             news = max(SMOOTHING, min((self.now - told.kind.heard_at) / REPORT_LIFE_US, 1.0))
             told.kind.waiting += news * (told.waiting - told.kind.waiting)
         if flight is None or flight.at is None:
@@ -556,12 +552,12 @@
                 self.out.append(Release(event.id))
             return
         seat = flight.at
-        if not seat.off(flight):
+        if not self.fleet.off(seat, flight):
             self._ran(seat, flight, event.status is Status.OK)
         elif event.status not in (Status.READ, Status.OK):
             self._bad(seat, event, flight)
         if seat.role is not Role.READ:
-            seat.tokens = max(seat.tokens - flight.cost, 0.0)
+            self.fleet.load(seat, -flight.cost)
         given_up = event.status is Status.TIMEOUT  # Even a read may run yet, where its engine hangs.
         if flight.effect is None and (given_up if seat.role is Role.READ else event.status not in _PROVEN):
             flight.effect = (flight.sent, seat.info)
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -4,24 +4,24 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
+from random import Random
+from typing import Any, TypeVar
 
 from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
+from tuliptrack.structures.grouped_values import GroupedValues
+from tuliptrack.structures.rendezvous import RendezvousColumn
+from tuliptrack.structures.sorted_members import SortedMembers
 
-_MASK = (1 << 64) - 1
+T = TypeVar("T")
+DRAWS = 64  # servers drawn by chance for one that fits, before all are looked at
+DRAW_SHARE = 8  # least part of the servers, as its inverse, that must fit for that: eight draws at most on the mean
 PREFIXES_KEPT = 256  # prefixes of which is known how often they came: far more than the requests that count
+SIZE_UNIT = 2**30  # sizes are added up as whole multiples of its inverse: no sum depends on the order of changes
 GONE_KEPT = 128  # servers that have gone and are still known, so that one that comes and goes keeps its blame and turn
 
 
-def mix(value: int) -> int:
-    """A fixed 64-bit mixer, so that all nodes and processes hash alike."""
-    value = (value + 0x9E3779B97F4A7C15) & _MASK
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & _MASK
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & _MASK
-    return value ^ (value >> 31)
-
-
 def median_low(values: Iterable[float]) -> float:
     """The middle one of these, the lower of two; ValueError where there are none. Its namesake in the standard library costs
     a process a twentieth of the time in which it gets ready."""
@@ -31,6 +31,20 @@
     return ordered[(len(ordered) - 1) // 2]
 
 
+def any_of(members: Sequence[T], random: Random) -> T | None:
+    """One of these, each as likely; None where there are none."""
+    if len(members) > 1:
+        return members[int(random.random() * len(members))]
+    return members[0] if members else None
+
+
+def least_of(members: Sequence[T], rank: Callable[[T], Any]) -> list[T]:
+    """Those of the lowest rank, in their order; none where there are no members."""
+    ranks = [rank(member) for member in members]
+    least = min(ranks, default=None)
+    return [member for member, own in zip(members, ranks, strict=True) if own == least]
+
+
 @dataclass(slots=True)
 class Blame:
     """Failures of one kind at one server."""
@@ -102,6 +116,45 @@
         return self.carried
 
 
+@dataclass(slots=True)
+class Pace:
+    """How long answers have run and how many have ended, fading alike; of one server or of all together."""
+
+    running: int = 0
+    """Answers that run now."""
+    ends: float = 0.0
+    """Answers that have ended whole."""
+    ran_us: float = 0.0
+    """Microseconds that answers have run, added up over them."""
+    at: int = 0
+    """The moment up to which this holds."""
+
+    def advance(self, now: int, fade: float) -> None:
+        """Bring it up to now."""
+        left = math.exp((self.at - now) / fade)
+        self.ran_us = self.ran_us * left + self.running * fade * (1 - left)
+        self.ends *= left
+        self.at = now
+
+    def begin(self, now: int, fade: float) -> None:
+        """One more answer runs."""
+        self.advance(now, fade)
+        self.running += 1
+
+    def end(self, now: int, fade: float, whole: bool) -> None:
+        """An answer has ended."""
+        self.advance(now, fade)
+        self.running -= 1
+        self.ends += whole
+
+    def leave_out(self, part: Pace, now: int, fade: float) -> None:
+        """Forget what is part of this."""
+        self.advance(now, fade)
+        part.advance(now, fade)
+        self.ran_us = max(self.ran_us - part.ran_us, 0.0)
+        self.ends = max(self.ends - part.ends, 0.0)
+
+
 @dataclass(slots=True)
 class Seat:
     """What one node knows of one server: its list entry, its last report and its own traffic there."""
@@ -131,11 +184,8 @@
     """Projected tokens of this node's own streams there."""
     running: dict[int, int] = field(default_factory=dict)
     """This node's answers that have started there and not ended, and when each did."""
-    ends: float = 0.0
-    """Its answers that have ended whole, fading."""
-    ran_us: float = 0.0
-    """Microseconds that its answers have run, added up over them and fading alike."""
-    ran_at: int = 0
+    pace: Pace = field(default_factory=Pace)
+    """How its answers have run lately."""
     blamed: dict[int, Blame] = field(default_factory=dict)
     """What has failed there lately: the whole server, its service of one class, or of one tenant."""
     open: dict[int, Flight] = field(default_factory=dict)
@@ -160,12 +210,31 @@
             self.open_work = max(self.open_work - flight.work, 0.0)
         return waited
 
-    def ran(self, now: int, fade: float, ended: bool = False) -> None:
-        """Bring up to now how long its answers have run and how many have ended."""
-        left = math.exp((self.ran_at - now) / fade)
-        self.ran_us = self.ran_us * left + len(self.running) * fade * (1 - left)
-        self.ends = self.ends * left + ended
-        self.ran_at = now
+    @property
+    def oldest(self) -> Flight | None:
+        """The oldest attempt that waits there."""
+        return next(iter(self.open.values()), None)
+
+    def fresh(self, now: int, life: int) -> float:
+        """How much its last report still counts: a server that gets no sends sends no new ones."""
+        return max(0.0, 1 - (now - self.told_at) / life)
+
+    def standing(self, now: int, life: int, reported: bool) -> float:
+        """Requests that stand there: by the last report, and of this node's own. A mixed server's running answers count as
+        its reports count them (`reported`: they do), since each read there slows all of them."""
+        own = len(self.running) if self.role is Role.BOTH and not reported else 0
+        return self.depth * self.fresh(now, life) + len(self.open) + own
+
+    def us_per_token(self, now: int) -> float:
+        """Own busy time there for each token worked off, not less than what the oldest attempt has shown."""
+        oldest = self.oldest
+        seen = self.busy_us / self.busy_tokens if self.busy_tokens else self.kind.us_per_token
+        return max(seen, (now - self.busy_from) / oldest.work) if oldest else seen
+
+    def usual_latency(self, now: int) -> float:
+        """The smoothed time to 'read', or the age of the oldest open one: a hung reader ends no reads."""
+        oldest = self.oldest
+        return max(self.latency or self.kind.latency, now - oldest.sent if oldest else 0, 1)
 
     def told(self, report: dict[str, float], now: int) -> None:
         """Note a load report, of which fields may be missing."""
@@ -224,64 +293,327 @@
         return max(self.request.prompt_tokens - shared, 1.0)
 
 
+Group = tuple[Role, int]
+"""Servers of a role and, where crossings are counted, of a zone."""
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """What a change of the list has done."""
+
+    seats: list[Seat]
+    """New ones, and those whose entry is another one now."""
+    forgotten: list[int]
+    """Servers gone for the longest, of which nothing is known any more."""
+
+
+class Loads:
+    """Projected loads of some servers: those with own streams one by one, all others as a count in each group. The sum is
+    rounded once, so it does not depend on any order."""
+
+    def __init__(self, counts: dict[Group, int], by_role: dict[Role, float]) -> None:
+        """`counts` of the servers by group; `by_role`: what their role carries from this node."""
+        self.count = sum(counts.values())
+        self.idle = dict(counts)
+        """How many of each group have no streams of this node."""
+        self.base = {group: by_role[group[0]] for group in counts}
+        self.own: dict[int, float] = {}
+        self._groups: dict[int, Group] = {}
+
+    def add(self, seat: Seat, group: Group) -> None:
+        """One of them has streams of this node."""
+        self.own[seat.info.id] = seat.tokens / max(seat.info.weight, 1e-6) + self.base[group]
+        self._groups[seat.info.id] = group
+        self.idle[group] -= 1
+
+    def of(self, seat: Seat, group: Group) -> float:
+        """The load of one of them."""
+        return self.own.get(seat.info.id, self.base[group])
+
+    def raise_by(self, unit: float, prices: dict[Group, float]) -> None:
+        """Each becomes more by its group's price in units."""
+        self.own = {server: load + unit * prices[self._groups[server]] for server, load in self.own.items()}
+        self.base = {group: base + unit * prices[group] for group, base in self.base.items()}
+
+    @property
+    def mean(self) -> float:
+        """Over all of them."""
+        idle = math.fsum(self.base[group] * n for group, n in self.idle.items())
+        return (math.fsum(self.own.values()) + idle) / self.count
+
+    @property
+    def least(self) -> float:
+        """The lowest load."""
+        return min([*self.own.values(), *(self.base[group] for group, n in self.idle.items() if n)])
+
+    def idle_at(self, load: float) -> int:
+        """How many without streams of this node have just this load."""
+        return sum(n for group, n in self.idle.items() if self.base[group] == load)
+
+    def loaded_at(self, load: float) -> list[int]:
+        """Those with streams of this node that have just this load, by their numbers."""
+        return sorted(server for server, own in self.own.items() if own == load)
+
+
+@dataclass(slots=True)
+class Candidates:
+    """The ready servers of a role to which a request may go: all but those that are barred."""
+
+    ready: SortedMembers[Seat]
+    barred: set[int]
+    turns: list[Seat]
+    """Those among them in slow start that have a turn open."""
+
+    def __len__(self) -> int:
+        return len(self.ready) - len(self.barred)
+
+    def __contains__(self, seat: Seat) -> bool:
+        return seat.info.id in self.ready and seat.info.id not in self.barred
+
+    def __iter__(self) -> Iterator[Seat]:
+        """By their numbers."""
+        return (seat for seat in self.ready if seat.info.id not in self.barred)
+
+    def draw(self, fits: Callable[[Seat], bool], count: int, random: Random) -> Seat | None:
+        """Any of the `count` that fit, each as likely: by trials where they are many, else all are looked at."""
+        for _ in range(DRAWS if DRAW_SHARE * count >= len(self.ready) else 0):
+            seat = self.ready[int(random.random() * len(self.ready))]
+            if fits(seat):
+                return seat
+        return any_of([seat for seat in self if fits(seat)], random)
+
+
 class Fleet:
-    """The server list as this node was last told it; what follows from it is worked out once a change."""
+    """The server list as this node was last told it, with indexes that each change mends: no question and no change costs a
+    look at every server."""
 
-    def __init__(self, roles: tuple[Role, ...]) -> None:
-        self.roles = roles
+    def __init__(self, roles: tuple[Role, ...], by_zone: bool = False) -> None:
+        """`by_zone`: what crosses zones is counted."""
+        self.roles, self.by_zone = roles, by_zone
         self.seats: dict[int, Seat] = {}
-        self.orders: dict[int, list[Seat]] = {}
-        """Orders of the ready readers by key, kept by the decision module; a change voids them."""
-        self._ready: dict[Role, list[Seat]] = {}
-        self._parts: dict[tuple[Role, int | None], float] = {}
+        self.waiting: dict[int, Seat] = {}
+        """Servers at which attempts of this node wait for an answer."""
+        self.running: dict[int, Seat] = {}
+        """Those at which answers run."""
+        self.loaded: dict[int, Seat] = {}
+        """Those with projected tokens of this node's streams."""
+        self.pace = Pace()
+        """Of all servers together."""
+        self.memory: GroupedValues[Group] = GroupedValues()
+        """Reported memory of the ready servers that write."""
+        self._blamed: dict[int, Seat] = {}
+        self._young: dict[int, Seat] = {}
+        """Servers that had started shortly before they were listed."""
+        self._gone: dict[int, Seat] = {}
+        """The last to go stands last."""
+        self._ready: dict[Role, SortedMembers[Seat]] = {role: SortedMembers() for role in Role}
+        self._cells: dict[int, SortedMembers[Seat]] = {}
+        """Ready servers that write, by cell."""
+        self._column: RendezvousColumn[Seat] | None = None
+        self._sizes: dict[tuple[Role, int | None], int] = {}
+        """Listed sizes of the ready servers of just a role, in all and by cell, in `SIZE_UNIT`s."""
+        self._listed: dict[Role, tuple[int, int]] = {}
+        """Of every server known, ready or not: sizes and their number."""
         self._most = {Role.READ: 0, Role.WRITE: 0}
-        self._means: dict[Role, float] = {}
-
-    def apply(self, change: FleetChange) -> list[int]:
-        """Take a change, or a whole list, in which what isn't named has gone. Returns the servers forgotten: those gone
-        the longest, with nothing of this node's there, past `GONE_KEPT`."""
-        self.orders.clear()
-        self._ready.clear()
-        self._parts.clear()
-        self._means.clear()
+
+    # -- changes of the list
+
+    def apply(self, change: FleetChange, now: int, fade: float) -> Changed:
+        """Take a change, or a whole list, in which what isn't named has gone. Servers gone the longest, with nothing of this
+        node's there, are forgotten past `GONE_KEPT`. `fade`: of paces."""
+        changed: dict[int, Seat] = {}
+        infos: Iterable[Server] = change.servers
         if change.kind is not ListKind.DELTA:
             named = {server.id for server in change.servers}
-            for seat in self.seats.values():
-                if seat.info.id not in named:
-                    seat.info = replace(seat.info, state=ServerState.GONE)
-        for info in change.servers:
-            seat = self.seats.setdefault(info.id, Seat(info, self._role(info.kind)))
-            if info.started_at > seat.info.started_at:
-                # A new process under the old id: what the old one did says nothing of it.
-                seat.blamed, seat.latency, seat.memory, seat.waiting, seat.turn = {}, 0.0, 0.0, 0.0, 0
-                seat.ran_us = seat.ends = 0.0
+            absent = [s.info for s in self.seats.values() if s.info.id not in named and s.info.state is not ServerState.GONE]
+            absent.sort(key=lambda info: info.id)
+            infos = [*(replace(info, state=ServerState.GONE) for info in absent), *change.servers]
+        for info in infos:
+            seat = self.seats.get(info.id)
+            if seat is None:
+                seat = self.seats[info.id] = Seat(info, self._role(info.kind))
+                self._count_listed(seat.role, _units(info.weight), 1)
+                self._enter(seat)
+            elif info is not seat.info and info != seat.info:
+                self._replace(seat, info, now, fade)
+            elif info.state is not ServerState.GONE:
+                continue
             if info.state is ServerState.GONE:
-                self.seats[info.id] = self.seats.pop(info.id)  # The last to go stands last.
-            seat.info = info
-        for role in (Role.READ, Role.WRITE):
-            self._most[role] = max(self._most[role], len(self.ready(role)))
-        gone = [s.info.id for s in self.seats.values() if s.info.state is ServerState.GONE and not (s.open or s.running)]
-        forgotten = gone[:-GONE_KEPT]
-        for server in forgotten:
-            del self.seats[server]
-        return forgotten
+                self._gone.pop(info.id, None)
+                self._gone[info.id] = seat
+            changed[info.id] = seat
+        for role, most in self._most.items():
+            self._most[role] = max(most, len(self._ready[role]))
+        return Changed(list(changed.values()), self._forget(now, fade))
+
+    def _replace(self, seat: Seat, info: Server, now: int, fade: float) -> None:
+        """A known server has another entry. A new process under an old id: what the old one did says nothing of it."""
+        self._leave(seat)
+        self._count_listed(seat.role, _units(info.weight) - _units(seat.info.weight), 0)
+        if info.started_at > seat.info.started_at:
+            seat.blamed, seat.latency, seat.memory, seat.waiting, seat.turn = {}, 0.0, 0.0, 0.0, 0
+            self.pace.leave_out(seat.pace, now, fade)
+            seat.pace = Pace(seat.pace.running, at=now)
+        seat.info = info
+        self._gone.pop(info.id, None)
+        self._enter(seat)
+
+    def _enter(self, seat: Seat) -> None:
+        """Put a server into the indexes that its entry asks for."""
+        info, role = seat.info, seat.role
+        if info.started_at:
+            self._young[info.id] = seat
+        if info.state is not ServerState.READY:
+            return
+        for asked in {role, Role.READ, Role.WRITE} if role is Role.BOTH else {role}:
+            self._ready[asked].put(info.id, seat)
+        if role is not Role.WRITE:
+            self._column = None
+        if role is not Role.READ:
+            self.memory.put(info.id, self.group(seat), seat.memory)
+            self._cells.setdefault(info.cell, SortedMembers()).put(info.id, seat)
+        self._count_ready(seat, _units(info.weight))
+
+    def _leave(self, seat: Seat) -> None:
+        """Take a server out of every index over entries."""
+        info, role = seat.info, seat.role
+        self._young.pop(info.id, None)
+        if info.state is not ServerState.READY:
+            return
+        for ready in self._ready.values():
+            ready.remove(info.id)
+        if role is not Role.WRITE:
+            self._column = None
+        if role is not Role.READ:
+            self.memory.remove(info.id)
+            cell = self._cells[info.cell]
+            cell.remove(info.id)
+            if not cell:
+                del self._cells[info.cell]
+        self._count_ready(seat, -_units(info.weight))
+
+    def _count_ready(self, seat: Seat, units: int) -> None:
+        for cell in (None, seat.info.cell):
+            key = (seat.role, cell)
+            self._sizes[key] = self._sizes.get(key, 0) + units
+            if not self._sizes[key]:
+                del self._sizes[key]
+
+    def _count_listed(self, role: Role, units: int, number: int) -> None:
+        known, count = self._listed.get(role, (0, 0))
+        self._listed[role] = (known + units, count + number)
+
+    def _forget(self, now: int, fade: float) -> list[int]:
+        idle = [s for s in self._gone.values() if not (s.open or s.running)]
+        forgotten = idle[:-GONE_KEPT]
+        for seat in forgotten:
+            server = seat.info.id
+            del self.seats[server], self._gone[server]
+            self._young.pop(server, None)
+            self._blamed.pop(server, None)
+            self.loaded.pop(server, None)
+            self.pace.leave_out(seat.pace, now, fade)
+            self._count_listed(seat.role, -_units(seat.info.weight), -1)
+        return [seat.info.id for seat in forgotten]
 
     def _role(self, kind: int) -> Role:
         return self.roles[kind] if kind < len(self.roles) else Role.WRITE
 
-    def ready(self, role: Role) -> list[Seat]:
-        """The servers that take this role's work, mixed ones too."""
-        if role not in self._ready:
-            self._ready[role] = [s for s in self.seats.values()
-                                 if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
+    # -- this node's own traffic
+
+    def take(self, seat: Seat, flight: Flight, now: int) -> None:
+        """A new attempt waits there."""
+        seat.take(flight, now)
+        self.waiting[seat.info.id] = seat
+
+    def off(self, seat: Seat, flight: Flight) -> bool:
+        """Take an attempt off those that wait there; False where its answer had started."""
+        waited = seat.off(flight)
+        if not seat.open:
+            self.waiting.pop(seat.info.id, None)
+        return waited
+
+    def begin(self, seat: Seat, request: int, now: int, fade: float) -> None:
+        """An answer has started there."""
+        seat.pace.begin(now, fade)
+        self.pace.begin(now, fade)
+        seat.running[request] = now
+        self.running[seat.info.id] = seat
+
+    def end(self, seat: Seat, request: int, now: int, fade: float, whole: bool) -> int:
+        """An answer that had started is over; the microseconds that it ran."""
+        seat.pace.end(now, fade, whole)
+        self.pace.end(now, fade, whole)
+        began = seat.running.pop(request)
+        if not seat.running:
+            self.running.pop(seat.info.id, None)
+        return now - began
+
+    def load(self, seat: Seat, tokens: float) -> None:
+        """Projected tokens of a stream come there, or leave. Where nothing of this node's is there, none are."""
+        seat.tokens = max(seat.tokens + tokens, 0.0) if seat.open or seat.running else 0.0
+        if seat.tokens:
+            self.loaded[seat.info.id] = seat
+        else:
+            self.loaded.pop(seat.info.id, None)
+
+    def told(self, seat: Seat, report: dict[str, float], now: int) -> None:
+        """A load report has come."""
+        seat.told(report, now)
+        if seat.info.id in self.memory:
+            self.memory.put(seat.info.id, self.group(seat), seat.memory)
+
+    def blame(self, seat: Seat, key: int, blame: Blame) -> None:
+        """Note a failure there."""
+        seat.blamed[key] = blame
+        self._blamed[seat.info.id] = seat
+
+    def forget_pace(self, seat: Seat, now: int, fade: float) -> None:
+        """Begin anew with how its answers run."""
+        self.pace.leave_out(seat.pace, now, fade)
+        seat.pace = Pace(seat.pace.running, at=now)
+
+    # -- questions
+
+    def group(self, seat: Seat) -> Group:
+        """Of a server, in `memory`."""
+        return seat.role, seat.info.zone if self.by_zone else 0
+
+    def ready(self, role: Role) -> SortedMembers[Seat]:
+        """The servers that take this role's work, mixed ones too, by their numbers."""
         return self._ready[role]
 
+    def cell(self, cell: int) -> Collection[Seat]:
+        """The ready servers of a cell that write, by their numbers."""
+        return self._cells.get(cell, ())
+
+    def blamed(self, role: Role) -> list[Seat]:
+        """Ready servers of a role of which something is blamed."""
+        for server in [server for server, seat in self._blamed.items() if not seat.blamed]:
+            del self._blamed[server]
+        return [seat for server, seat in self._blamed.items() if server in self._ready[role]]
+
+    def cold(self, role: Role, since: int) -> list[Seat]:
+        """Ready servers of a role that have started after a moment, by their numbers; the others are warm from now on."""
+        for server in [server for server, seat in self._young.items() if seat.info.started_at <= since]:
+            del self._young[server]
+        return [self._young[server] for server in sorted(self._young) if server in self._ready[role]]
+
+    def readers(self) -> RendezvousColumn[Seat]:
+        """The ready servers that read, to be ranked for a prefix."""
+        if self._column is None:
+            seats = list(self._ready[Role.READ])
+            self._column = RendezvousColumn(seats, [s.info.id for s in seats], [s.info.weight for s in seats])
+        return self._column
+
+    def oldest(self, role: Role) -> Iterable[tuple[Seat, Flight]]:
+        """The oldest attempt that waits at each ready server of a role."""
+        ready = self._ready[role]
+        return ((s, s.oldest) for server, s in self.waiting.items() if s.oldest and server in ready)
+
     def size(self, role: Role, cell: int | None = None) -> float:
         """The listed sizes of the ready servers of just this role, in all or in one cell, summed."""
-        if (role, cell) not in self._parts:
-            self._parts[role, cell] = sum(s.info.weight for s in self.ready(role)
-                                          if s.role is role and cell in (None, s.info.cell))
-        return max(self._parts[role, cell], 1e-6)
+        return max(self._sizes.get((role, cell), 0) / SIZE_UNIT, 1e-6)
 
     def cell_part(self, role: Role, cell: int) -> float:
         """The part of this role's listed size that one cell holds."""
@@ -290,11 +622,14 @@
     def share(self, seat: Seat) -> float:
         """The part that a ready server is of all that do its stage, by its listed size within its role and
         the most of them ever listed here: it doesn't grow when others go. A mixed server does both stages."""
-        if seat.role not in self._means:
-            sizes = [s.info.weight for s in self.seats.values() if s.role is seat.role]
-            self._means[seat.role] = (sum(sizes) or 1.0) / len(sizes)
+        units, count = self._listed[seat.role]
+        mean = (units / SIZE_UNIT or 1.0) / count
         most = max(n for role, n in self._most.items() if seat.role in (role, Role.BOTH))
-        return seat.info.weight / self._means[seat.role] / most
+        return seat.info.weight / mean / most
+
+
+def _units(weight: float) -> int:
+    return round(weight * SIZE_UNIT)
 
 
 class Asked:
