--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -82,6 +82,7 @@
 @click.option("--list-servers", default=4, help="Processes that stand in for discovery.")
 @click.option("--rate", default=7.1, help="Requests a second of one node.")
 @click.option("--seconds", default=60.0, help="Of ordinary changes.")
+@click.option("--settle", default=8.0, help="Seconds after each part.")
 @click.option("--seed", default=1)
 @click.option("--router", default="", help="Module file whose Router decides, in place of the program's own.")
 @click.option("--json", "path", type=click.Path(dir_okay=False), help="File for the report.")
--- a/tuliptrack/lab/hollow/fleet.py
+++ b/tuliptrack/lab/hollow/fleet.py
@@ -23,9 +23,7 @@
     45_000_000,
 )  # memory of a hollow node for each engine, and of a process without nodes
 CHANGE_EVERY_S = 5.0  # seconds between ordinary changes of the list
-ZONE_LOST_S = 6.0
-SILENT_S = 6.0
-SETTLE_S = 8.0  # seconds after each part in which nodes come up to the list, and engines warm up
+LOST_PART = 0.75  # of the time in which a fleet settles: so long a zone is lost, and discovery silent
 
 
 class FleetError(ValueError):
@@ -43,6 +41,8 @@
     rate: float = 7.1
     seconds: float = 60.0
     """Of ordinary changes."""
+    settle: float = 8.0
+    """Seconds after each part in which nodes come up to the list."""
     seed: int = 1
     router: str = ""
 
@@ -55,6 +55,7 @@
             ("list_servers", 1, 32),
             ("rate", 0.01, 100.0),
             ("seconds", 1.0, 3_600.0),
+            ("settle", 1.0, 60.0),
         ):
             value = getattr(self, name)
             if not least <= value <= most:
@@ -277,12 +278,10 @@
     await fleet.end_phase("ordinary changes", revisions, entries)
 
 
-async def _one_change(
-    fleet: _Fleet, name: str, entries: list[dict[str, Any]], settle: float = SETTLE_S
-) -> None:
+async def _one_change(fleet: _Fleet, name: str, entries: list[dict[str, Any]], part: float = 1.0) -> None:
     await fleet.begin_phase()
     revision = await fleet.change(entries)
-    await asyncio.sleep(settle)
+    await asyncio.sleep(part * fleet.plan.settle)
     await fleet.end_phase(name, {revision: fleet.told_at[revision]}, len(entries))
 
 
@@ -290,7 +289,7 @@
     """A zone's engines go in one change, and come back cold in one."""
     lost = fleet.population.in_zone(3)
     await _one_change(
-        fleet, "a zone lost", [fleet.population.member(n, phase="Gone") for n in lost], ZONE_LOST_S
+        fleet, "a zone lost", [fleet.population.member(n, phase="Gone") for n in lost], LOST_PART
     )
     now = time.time_ns() // 1_000_000
     await _one_change(
@@ -311,11 +310,11 @@
     """Discovery is silent, and changes meanwhile: that counts from its return."""
     await fleet.begin_phase()
     await fleet.silent(True)
-    await asyncio.sleep(SILENT_S / 2)
+    await asyncio.sleep(LOST_PART * fleet.plan.settle / 2)
     revision = await fleet.change([fleet.population.member(2, phase="Terminating")])
-    await asyncio.sleep(SILENT_S / 2)
+    await asyncio.sleep(LOST_PART * fleet.plan.settle / 2)
     back = await fleet.silent(False)
-    await asyncio.sleep(SETTLE_S)
+    await asyncio.sleep(fleet.plan.settle)
     await fleet.end_phase("discovery silent and back", {revision: back}, 1)
 
 
--- a/tuliptrack/relay/discovery.py
+++ b/tuliptrack/relay/discovery.py
@@ -61,6 +61,19 @@
     """A list that can't be taken; the text names the entry and the field."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """One entry: as it was told, and what it was read as."""
+
+    told: dict[str, Any]
+    """Empty where it isn't taken as it was told."""
+    server: Server
+    address: str
+    name: str
+    since: object
+    """Its start, as the agent says it."""
+
+
 class Members:
     """The list held, in the router's terms. An entry that can't be used is left out, with one line when it is first seen; what
     is no list at all is turned down, and the old one holds. Bound: `MOST_MEMBERS`, and as many complaints."""
@@ -72,6 +85,8 @@
         self.addresses: dict[int, str] = {}
         """Of servers listed and not gone."""
         self.names: dict[int, str] = {}
+        self._entries: dict[str, _Entry] = {}
+        """Entries by name, of servers listed and not gone: one that is told again unchanged is not read again."""
         self._starts = Starts()
         self._complained: set[str] = set()
         self._last: dict[int, tuple[ServerState, object]] = {}
@@ -96,34 +111,57 @@
             return None
         behind = anew and revision < self.revision
         now, wall = now_us(), time.time_ns() // 1000
-        servers: dict[int, tuple[Server, str, str]] = {}
-        starts: dict[int, object] = {}
-        for place, entry in enumerate(members):
+        entries: dict[int, _Entry] = {}
+        for place, told_entry in enumerate(members):
             try:
-                server, address, name = self._entry(entry, f"members[{place}]", now, wall)
+                entry = self._read(told_entry, place, now, wall)
             except ListError as error:
-                self._leave_out(entry, str(error))
+                self._leave_out(told_entry, str(error))
                 continue
-            last, since = self._last.get(server.id, (ServerState.READY, None))
-            if behind and last is not ServerState.READY and since == entry.get("up_since_ms", 0):
-                server = replace(server, state=last)
-            servers[server.id] = (server, address, name)
-            starts[server.id] = entry.get("up_since_ms", 0)
+            entries[entry.server.id] = self._as_before(entry) if behind else entry
         self.revision = revision
         if whole:
-            for absent in self.addresses.keys() - servers.keys():
-                self._note(absent, ServerState.GONE, self._last.get(absent, (None, 0))[1])
-            self.addresses, self.names = {}, {}
-        for server, address, name in servers.values():
-            self._note(server.id, server.state, starts[server.id])
-            if server.state is ServerState.GONE:
-                self.addresses.pop(server.id, None)
-                self.names.pop(server.id, None)
-            else:
-                self.addresses[server.id], self.names[server.id] = address, name
-        self._starts.keep(self.addresses)
+            self._forget_absent(entries)
+        for entry in entries.values():
+            self._hold(entry)
         kind = ListKind.CACHED if cached else ListKind.FULL if whole else ListKind.DELTA
-        return FleetChange(kind, revision & 0xFFFFFFFF, tuple(server for server, _, _ in servers.values()))
+        return FleetChange(kind, revision & 0xFFFFFFFF, tuple(entry.server for entry in entries.values()))
+
+    def _read(self, told: Any, place: int, now: int, wall: int) -> _Entry:
+        """One entry; ListError where it can't be used."""
+        known = self._entries.get(told["id"]) if isinstance(told, dict) and isinstance(told.get("id"), str) else None
+        if known and known.told == told:
+            return known
+        server, address, name = self._entry(told, f"members[{place}]", now, wall)
+        return _Entry(told, server, address, name, told.get("up_since_ms", 0))
+
+    def _as_before(self, entry: _Entry) -> _Entry:
+        """An entry of an agent that may know less than the one before: what was said of this start holds."""
+        last, since = self._last.get(entry.server.id, (ServerState.READY, None))
+        if last is ServerState.READY or since != entry.since:
+            return entry
+        return replace(entry, server=replace(entry.server, state=last), told={})
+
+    def _forget_absent(self, entries: dict[int, _Entry]) -> None:
+        """A whole list names those that there are."""
+        for absent in self.addresses.keys() - entries.keys():
+            self._note(absent, ServerState.GONE, self._last.get(absent, (None, 0))[1])
+            self._drop(absent)
+
+    def _hold(self, entry: _Entry) -> None:
+        server = entry.server
+        self._note(server.id, server.state, entry.since)
+        if server.state is ServerState.GONE:
+            self._drop(server.id)
+        else:
+            self.addresses[server.id], self.names[server.id] = entry.address, entry.name
+            self._entries[entry.name] = entry
+
+    def _drop(self, server: int) -> None:
+        """It has gone: its address, entry and start are not known any more."""
+        self.addresses.pop(server, None)
+        self._entries.pop(self.names.pop(server, ""), None)
+        self._starts.forget(server)
 
     def _note(self, server: int, state: ServerState, start: object) -> None:
         self._last.pop(server, None)
--- a/tuliptrack/sources/starts.py
+++ b/tuliptrack/sources/starts.py
@@ -8,7 +8,7 @@
 
 
 class Starts:
-    """Bound: one entry for each server that `keep` was last told of, and those asked for since."""
+    """Bound: one entry for each server asked for and not forgotten, by `forget` or with the last `keep`."""
 
     def __init__(self) -> None:
         self._known: dict[int, tuple[int, int]] = {}
@@ -26,6 +26,10 @@
         self._known[server] = (unix_us, started)
         return started
 
+    def forget(self, server: int) -> None:
+        """It has gone."""
+        self._known.pop(server, None)
+
     def keep(self, servers: Container[int]) -> None:
         """Forget all but these."""
         self._known = {server: start for server, start in self._known.items() if server in servers}
