A reader for a request that may go anywhere is found without a look at every reader

Why: while a node refuses, each request was scored at every reader that it might go to; with the other scans gone that was what still grew with the fleet.

What: readers with nothing of this node's and no fresh report differ by their latency alone, which is kept sorted by group; the others are scored one by one. The same decisions, by tests/test_same_decisions.py (the oracle's tie among all readers is settled by the same draws); the operations of a refusal at 1,900 engines are under 1.6 times those at 190, and the former text is found by the same count. The yardstick is timed anew before each measurement.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,7 +18,7 @@
 from tuliptrack.lab.capacity import control, node, processes
 from tuliptrack.lab.capacity.page import page_with_tables, read_fleets
 from tuliptrack.lab.capacity.results import ResultError, Results, Series
-from tuliptrack.lab.capacity.yardstick import measure_yardstick
+from tuliptrack.lab.capacity.yardstick import Yardstick
 from tuliptrack.node.logs import set_up
 
 ROOT = Path(__file__).resolve().parents[1]
@@ -100,13 +100,12 @@
     set_up(json_lines=False, quiet=True)
     engines, controlled = sizes_of(sizes, 12, 10_000), sizes_of(hosts, 3, 1_000)
     results = Results(
-        yardstick_us=measure_yardstick(),
         python=platform.python_version(),
         command=" ".join(["python bench/capacity.py", *sys.argv[1:]]),
         commit=_commit(),
     )
     by_engines = node.NodeCosts()
-    yardstick = results.yardstick_us
+    yardstick = Yardstick()
     if before:
         other = other_router(before)
         node.measure_lists(other, engines, yardstick, by_engines, BEFORE)
@@ -132,6 +131,7 @@
     ):
         for one in costs.series({**UNITS, "before": "yardsticks"}, by):
             results.add(Series(one.name, _unit(one.name), by, one.points))
+    results.yardstick_us = yardstick.median_us
     results.write(path)
 
 
--- a/tests/oracle/brain.py
+++ b/tests/oracle/brain.py
@@ -184,7 +184,7 @@
             open_to = self._pool(self._order(flight), flight, len(self.seats))
             near = [s for s in open_to if look > most or not self._abroad(s)]
             seat = next((s for s in near if self._cold_turn(s, flight)), None) or (
-                self._spill(flight, sorted(near, key=lambda s: s.info.id), 1.0) if look > most else None)
+                self._spill_anywhere(flight, near) if look > most else None)
             if seat and (2 * (wait := self._outlook(flight, seat)) <= most or self._cold_turn(seat, flight)):
                 reader, look = seat, wait
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
@@ -261,6 +261,22 @@
 
         return any_of(least_of(seats, score), self.random)
 
+    def _spill_anywhere(self, flight: Flight, seats: list[Seat]) -> Seat | None:
+        """Any of the least score: where most know nothing of this node and are many, by trials among all readers."""
+        def score(seat: Seat) -> float:
+            return (self._depth(seat) + 1) * self._latency(seat) * (1 + self._price(flight, seat))
+
+        tied = least_of(sorted(seats, key=lambda s: s.info.id), score)
+        since = self.now - REPORT_LIFE_US
+        unknown = [s for s in tied if not (s.open or s.running or s.latency or (s.told_at and s.told_at > since))]
+        ready = self.fleet.ready(Role.READ)
+        if unknown and DRAW_SHARE * len(tied) >= len(ready):
+            for _ in range(DRAWS):
+                seat = ready[int(self.random.random() * len(ready))]
+                if seat in tied:
+                    return seat
+        return any_of(tied, self.random)
+
     def _far(self, flight: Flight) -> list[Seat]:
         """Readers of other zones among which to spill, in this prefix's hash order."""
         return self._pool([s for s in self._order(flight) if self._abroad(s)], flight, SPILL_HOMES)
--- a/tests/scale/test_costs.py
+++ b/tests/scale/test_costs.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tuliptrack.brain import Router
-from tuliptrack.interface import FleetChange, ListKind, ServerState
+from tuliptrack.interface import Action, FleetChange, ListKind, Refuse, Role, ServerState
 from tuliptrack.lab.capacity.node import Maker, playback, request_operations
 from tuliptrack.lab.capacity.operations import count_operations
 from tuliptrack.lab.hollow.population import KINDS, Population
@@ -26,6 +26,18 @@
     return request_operations(one)
 
 
+def refusal_cost(make: Maker, engines: int) -> int:
+    """Operations of one request that is refused in a jam, when every reader has been looked for."""
+    one = playback(make, engines)
+    one.play(MINUTE)
+    jammed = one.router.kinds[Role.READ, False]  # type: ignore[attr-defined]
+    jammed.full, jammed.told_at = 1.0, one.now
+    said: list[Action] = []
+    cost = count_operations(lambda: said.extend(one.router.handle(one.now, [one.traffic.request()])))
+    assert any(isinstance(action, Refuse) for action in said)
+    return cost
+
+
 def change_cost(make: Maker, engines: int) -> int:
     """Operations of one engine's drain."""
     population = Population(engines)
@@ -44,6 +56,11 @@
     assert request_cost(oracle.brain.Router, LARGE // 2) > 3 * request_cost(oracle.brain.Router, SMALL)
 
 
+def test_a_refusal_looks_at_no_more_readers_in_a_larger_fleet() -> None:
+    assert refusal_cost(Router, LARGE) < 1.6 * refusal_cost(Router, SMALL)
+    assert refusal_cost(oracle.brain.Router, LARGE) > 3 * refusal_cost(oracle.brain.Router, SMALL)
+
+
 def test_a_change_of_one_engine_costs_the_same_in_any_fleet() -> None:
     small, large = change_cost(Router, SMALL), change_cost(Router, LARGE)
     assert large < 1.1 * small
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -162,8 +162,10 @@
         if look > most / 2:  # On the way to a jam a turn at any cold reader is room, past it any idle one's.
             open_to = self._open_to(Role.READ, flight)
             turns = [s for s in open_to.turns if look > most or not self._abroad(s)]
-            seat = min(turns, default=None, key=lambda s: self._place(flight, s)) or (
-                self._spill(flight, list(open_to), 1.0) if look > most else None)
+            key = request.prefix or request.session  # The first in this order.
+            seat = min(turns, default=None, key=lambda s: (
+                self._abroad(s), -rendezvous_score(key, s.info.id, s.info.weight))) or (
+                self._spill_anywhere(flight, open_to) if look > most else None)
             if seat and (2 * (wait := self._outlook(flight, seat)) <= most or self._cold_turn(seat, flight)):
                 reader, look = seat, wait
         roles = (Role.READ, Role.WRITE) if reader and reader.role is Role.READ else (Role.BOTH,)
@@ -235,15 +237,19 @@
         far = [s for s in self._far(flight) if s not in seats] if self.zones else []
         return self._spill(flight, seats + far, 1.0)
 
-    def _spill(self, flight: Flight, seats: list[Seat], priced: float) -> Seat | None:
-        """The lowest score; a reader of another zone scores worse by the price of what would cross."""
-        def score(seat: Seat) -> float:
-            price = self._price(flight, seat.info.zone, seat.role is not Role.READ)
-            depth = seat.standing(self.now, REPORT_LIFE_US, self.has_depth)
-            return (depth + 1) * seat.usual_latency(self.now) * (1 + priced * price)
+    def _score(self, flight: Flight, seat: Seat, priced: float) -> float:
+        """A reader of another zone scores worse by the price of what would cross."""
+        price = priced * self._price(flight, seat.info.zone, seat.role is not Role.READ)
+        depth = seat.standing(self.now, REPORT_LIFE_US, self.has_depth)
+        return (depth + 1) * seat.usual_latency(self.now) * (1 + price)
 
+    def _spill(self, flight: Flight, seats: list[Seat], priced: float) -> Seat | None:
         # Nodes that know equally little must not all choose one server: ties go by the node's own chance.
-        return any_of(least_of(seats, score), self.random)
+        return any_of(least_of(seats, lambda s: self._score(flight, s, priced)), self.random)
+
+    def _spill_anywhere(self, flight: Flight, open_to: Candidates) -> Seat | None:
+        since = self.now - REPORT_LIFE_US
+        return self.fleet.any_least(open_to, lambda s: self._score(flight, s, 1.0), since, self.random)
 
     def _far(self, flight: Flight) -> list[Seat]:
         """Readers of other zones among which to spill, in this prefix's hash order."""
@@ -270,11 +276,6 @@
         order = self.fleet.readers().ranking(flight.request.prefix or flight.request.session)
         return sorted(order, key=self._abroad) if self.zones else order
 
-    def _place(self, flight: Flight, seat: Seat) -> tuple[bool, float]:
-        """Of one reader in this order: the least is the first."""
-        key = flight.request.prefix or flight.request.session
-        return self._abroad(seat), -rendezvous_score(key, seat.info.id, seat.info.weight)
-
     def _queue_us(self, seat: Seat) -> float:
         """Microseconds in which the tokens that wait there are worked off, at the speed seen here. So
         the threshold fits fast and slow servers, long and short prompts; slowness alone is no overload."""
@@ -513,7 +514,7 @@
 
     def _good(self, seat: Seat, latency: int, flight: Flight) -> None:
         kind, read = seat.kind, seat.role is not Role.WRITE and flight.held is None
-        seat.answered(flight, latency, self.now, SMOOTHING, read)
+        self.fleet.answered(seat, flight, latency, self.now, SMOOTHING, read)
         kind.answered(flight, latency, seat.waiting, SMOOTHING, read, self.now)
         kind.ended(0.0, 0.0, self.now, SMOOTHING)
         seat.breaks = 0
--- a/tuliptrack/lab/capacity/node.py
+++ b/tuliptrack/lab/capacity/node.py
@@ -15,7 +15,7 @@
 from tuliptrack.interface import Action, Event, FleetChange, ListKind, Outcome, Send, Settings
 from tuliptrack.lab.capacity.operations import count_operations
 from tuliptrack.lab.capacity.results import Series
-from tuliptrack.lab.capacity.yardstick import median_us, timed_us
+from tuliptrack.lab.capacity.yardstick import Yardstick, median_us, timed_us
 from tuliptrack.lab.hollow.population import KINDS, ROLES, Population, node_settings
 from tuliptrack.lab.hollow.traffic import Decides, DrawnTraffic, Playback, Rates
 from tuliptrack.relay.discovery import Members
@@ -115,12 +115,13 @@
 
 
 def measure_decisions(
-    make: Maker, sizes: Iterable[int], yardstick: float, costs: NodeCosts, prefix: str = ""
+    make: Maker, sizes: Iterable[int], clock: Yardstick, costs: NodeCosts, prefix: str = ""
 ) -> None:
     """Times of decisions by engines, in yardsticks; operations of a request, and the share of new connections."""
     for engines in sizes:
         one = playback(make, engines)
         one.play(WARM_UP)
+        yardstick = clock.now_us()
         timing = _Timing()
         one.call = timing.call(one.router)
         one.play(COUNTED)
@@ -185,11 +186,12 @@
 
 
 def measure_lists(
-    make: Maker, sizes: Iterable[int], yardstick: float, costs: NodeCosts, prefix: str = ""
+    make: Maker, sizes: Iterable[int], clock: Yardstick, costs: NodeCosts, prefix: str = ""
 ) -> None:
     """What lists and changes cost by engines: bytes, yardsticks, operations."""
     for engines in sizes:
         one = _Listing(make, engines)
+        yardstick = clock.now_us()
         members = one.population.members()
         whole = one.text(members, complete=True)
         costs.note(f"{prefix}list.bytes", engines, len(whole))
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -414,6 +414,10 @@
         self._group_numbers: dict[tuple[Role, int], int] = {}
         self.memory: GroupedValues[int] = GroupedValues()
         """Reported memory of the ready servers that write."""
+        self.latency: GroupedValues[int] = GroupedValues()
+        """Smoothed time to the end of a read at the ready servers that read; 0 before the first."""
+        self._reported: dict[int, Seat] = {}
+        """Servers whose reports came lately, the last one at the end."""
         self._blamed: dict[int, Seat] = {}
         self._young: dict[int, Seat] = {}
         """Servers that had started shortly before they were listed."""
@@ -480,10 +484,11 @@
             return
         for asked in {role, Role.READ, Role.WRITE} if role is Role.BOTH else {role}:
             self._ready[asked].put(info.id, seat)
+        seat.group = self._group(role, info.zone if self.by_zone else 0)
         if role is not Role.WRITE:
             self._column = None
+            self.latency.put(info.id, seat.group, seat.latency)
         if role is not Role.READ:
-            seat.group = self._group(role, info.zone if self.by_zone else 0)
             seat.load = seat.tokens / max(info.weight, 1e-6)
             self.memory.put(info.id, seat.group, seat.memory)
             self._cells.setdefault(info.cell, SortedMembers()).put(info.id, seat)
@@ -499,6 +504,7 @@
             ready.remove(info.id)
         if role is not Role.WRITE:
             self._column = None
+            self.latency.remove(info.id)
         if role is not Role.READ:
             self.memory.remove(info.id)
             cell = self._cells[info.cell]
@@ -533,6 +539,7 @@
             del self.seats[server], self._gone[server]
             self._young.pop(server, None)
             self._blamed.pop(server, None)
+            self._reported.pop(server, None)
             self.loaded.pop(server, None)
             self.pace.leave_out(seat.pace, now, fade)
             self._count_listed(seat.role, -_units(seat.info.weight), -1)
@@ -583,9 +590,17 @@
     def told(self, seat: Seat, report: dict[str, float], now: int) -> None:
         """A load report has come."""
         seat.told(report, now)
+        self._reported.pop(seat.info.id, None)
+        self._reported[seat.info.id] = seat
         if seat.info.id in self.memory:
             self.memory.put(seat.info.id, seat.group, seat.memory)
 
+    def answered(self, seat: Seat, flight: Flight, latency: int, now: int, weight: float, read: bool) -> None:
+        """An answer has come: its averages are brought up to it."""
+        seat.answered(flight, latency, now, weight, read)
+        if seat.info.id in self.latency:
+            self.latency.put(seat.info.id, seat.group, seat.latency)
+
     def blame(self, seat: Seat, key: int, blame: Blame) -> None:
         """Note a failure there."""
         seat.blamed[key] = blame
@@ -618,6 +633,36 @@
             del self._young[server]
         return [self._young[server] for server in sorted(self._young) if server in self._ready[role]]
 
+    def busy(self, since: int) -> dict[int, Seat]:
+        """Servers at which something of this node's waits or runs, or that have reported after a moment."""
+        for server, seat in list(self._reported.items()):
+            if seat.told_at > since:
+                break
+            del self._reported[server]
+        return self._reported | self.waiting | self.running
+
+    def any_least(self, open_to: Candidates, score: Callable[[Seat], float], since: int, random: Random) -> Seat | None:
+        """Any of the readers of the least score that are candidates, each as likely. Where nothing of this node's is and no
+        report came after `since`, the score has to rise with the latency, and be one for all of a group without any."""
+        busy = self.busy(since)
+        looked_at = open_to.among(busy.values())
+        left_out = open_to.barred | {server for server in busy if server in self.latency}
+        without = self.latency.counts(0.0, left_out)
+        alike: list[tuple[float, int]] = []
+        for group, count in without.items():
+            if count:
+                first = next(key for _, key in self.latency.rising(group) if key not in left_out)
+                alike.append((score(self.seats[first]), count))
+            quiet = (self.seats[key] for _, key in self.latency.rising(group, 0.0) if key not in left_out)
+            looked_at += _first_alike(quiet, score)
+        known = least_of(looked_at, score)
+        least = min([*(own for own, _ in alike), *(score(seat) for seat in known[:1])], default=math.inf)
+        tied = [seat for seat in known if score(seat) == least]
+        others = sum(count for own, count in alike if own == least)
+        if not others:
+            return any_of(sorted(tied, key=lambda s: s.info.id), random)
+        return open_to.draw(lambda s: s in open_to and score(s) == least, others + len(tied), random)
+
     def readers(self) -> RendezvousColumn[Seat]:
         """The ready servers that read, to be ranked for a prefix."""
         if self._column is None:
@@ -647,6 +692,16 @@
         return seat.info.weight / mean / most
 
 
+def _first_alike(seats: Iterable[Seat], score: Callable[[Seat], float]) -> list[Seat]:
+    """The first of some servers, and those after it with the same score."""
+    found: list[Seat] = []
+    for seat in seats:
+        if found and score(seat) != score(found[0]):
+            break
+        found.append(seat)
+    return found
+
+
 def _units(weight: float) -> int:
     return round(weight * SIZE_UNIT)
 
--- a/tuliptrack/structures/grouped_values.py
+++ b/tuliptrack/structures/grouped_values.py
@@ -5,8 +5,10 @@
 
 from __future__ import annotations
 
+import math
 from bisect import bisect_left, bisect_right, insort
-from collections.abc import Collection, Hashable, Iterable
+from collections.abc import Collection, Hashable, Iterable, Iterator
+from itertools import islice
 from typing import Generic, TypeVar
 
 __all__ = ["GroupedValues"]
@@ -65,6 +67,11 @@
             found[group] -= value <= bound
         return found
 
+    def rising(self, group: G, above: float = -math.inf) -> Iterator[tuple[float, int]]:
+        """Values and keys of a group's members with a value above some bound, the least first."""
+        values = self._groups.get(group, [])
+        return islice(values, bisect_right(values, above, key=_value), None)
+
     def low_median(self, without: Collection[int], groups: Iterable[G] | None = None) -> float:
         """The middle value of all members, or of those in some groups, the lower of two; ValueError where none is left."""
         wanted = self._groups.keys() if groups is None else set(groups)
