A cold server is asked for its turn only when one can have come

What: the turns that come at a cold server stand in Ramp, which also tells a time before which the next turn of this node cannot come; until then, and as long as the list holds, the server is passed over. The same turns as before, by tests/test_same_decisions.py and tests/test_cold.py.

--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -20,7 +20,7 @@
     Refuse, Release, Request, Role, Send, ServerState, SetTimer, Settings, Started, Status, Subscribe, Timer,
 )
 from tuliptrack.state import (
-    Asked, Blame, Candidates, Fleet, Flight, Kind, Loads, Seat, any_of, least_of, median_low,
+    Asked, Blame, Candidates, Fleet, Flight, Kind, Loads, Ramp, Seat, any_of, least_of, median_low,
 )
 from tuliptrack.structures.rendezvous import mix, rendezvous_score
 
@@ -332,9 +332,9 @@
         """The ready servers of a role where this request may go: suspects only where nothing else is left."""
         ready, fleet = self.fleet.ready(role), self.fleet
         cold = fleet.cold(role, self.now - self.settings.cold_for)
-        turns = {s.info.id: self._cold_turn(s, flight) for s in cold}
         barred = {server for server in flight.tried if server in ready}
-        barred.update(server for server, turn in turns.items() if turn is None)
+        barred.update([s.info.id for s in cold
+                       if s.no_turn_before > self.now or self._cold_turn(s, flight) is None])
         if flight.effect is not None and flight.cls.effect is not Effect.SAFE:
             barred.update(s.info.id for s in ready if not self._in_group(flight, s))
         looked_at = ready if self.zones and self.returns.back else fleet.blamed(role)
@@ -458,15 +458,14 @@
         s, start = self.settings, seat.info.started_at
         if not start or self.now >= start + s.cold_for:
             return 0
+        if self.now < seat.no_turn_before:
+            return None
         able = self.quotas * self.fleet.share(seat) / 1e6 or 1 / s.fall_window  # no quota told: one
-        rate = min(COLD_SHARE * s.fall_multiple, 1.0) * able
-
-        def come(at: int) -> int:
-            return int(rate * at * (s.cold_from + (1 - s.cold_from) * at / (2 * s.cold_for))) if at > 0 else 0
-
-        turn = come(self.now - start)
+        ramp = Ramp(min(COLD_SHARE * s.fall_multiple, 1.0) * able, s.cold_from, s.cold_for)
+        turn = ramp.turns(self.now - start)
         turn -= (turn + mix(seat.info.id) - s.slot) % s.replicas
-        if turn <= max(seat.turn, come(max(self.now - s.fall_window, self.born) - start)):
+        if turn <= max(seat.turn, ramp.turns(max(self.now - s.fall_window, self.born) - start)):
+            seat.no_turn_before = start + ramp.before(turn + s.replicas)
             return None
         heavy = self.asked.heaviness(flight.request.cls, seat.role)
         return turn if turn * COLD_SPREAD % 1 * heavy <= 1 else None
--- a/tuliptrack/state.py
+++ b/tuliptrack/state.py
@@ -198,6 +198,8 @@
     """Attempts in a row that broke with just their own connection."""
     turn: int = 0
     """The last turn at it that this node has used, while it was cold."""
+    no_turn_before: int = 0
+    """While it is cold: no further turn of this node's comes until then, as long as the list holds."""
 
     def take(self, flight: Flight, now: int) -> None:
         """Note a new attempt there."""
@@ -315,6 +317,27 @@
     """Servers gone for the longest, of which nothing is known any more."""
 
 
+@dataclass(frozen=True, slots=True)
+class Ramp:
+    """Turns at a server in slow start: how many have come by a time after its start, in microseconds. Their rate, by the
+    microsecond, grows evenly from a part of `rate` to all of it."""
+
+    rate: float
+    begins: float
+    """The part of the rate at the start."""
+    lasts: int
+
+    def turns(self, at: int) -> int:
+        """Turns that have come by then."""
+        return int(self.rate * at * (self.begins + (1 - self.begins) * at / (2 * self.lasts))) if at > 0 else 0
+
+    def before(self, turn: int) -> int:
+        """A time, a little before this turn comes."""
+        growth, first = self.rate * (1 - self.begins) / (2 * self.lasts), self.rate * self.begins
+        at = turn / first if not growth else (math.sqrt(first * first + 4 * growth * turn) - first) / (2 * growth)
+        return int(at * (1 - 1e-9)) - 2
+
+
 class Loads:
     """Projected loads of some servers: those with own streams one by one, all others as a count in each group. The sum is
     rounded once, so it does not depend on any order."""
@@ -419,8 +442,10 @@
         self._reported: dict[int, Seat] = {}
         """Servers whose reports came lately, the last one at the end."""
         self._blamed: dict[int, Seat] = {}
-        self._young: dict[int, Seat] = {}
-        """Servers that had started shortly before they were listed."""
+        self._young: dict[Role, SortedMembers[Seat]] = {role: SortedMembers() for role in Role}
+        """Ready servers that had started shortly before they were listed."""
+        self._first_start: float = math.inf
+        """Not later than the earliest start among them."""
         self._gone: dict[int, Seat] = {}
         """The last to go stands last."""
         self._ready: dict[Role, SortedMembers[Seat]] = {role: SortedMembers() for role in Role}
@@ -461,6 +486,9 @@
             changed[info.id] = seat
         for role, most in self._most.items():
             self._most[role] = max(most, len(self._ready[role]))
+        for members in self._young.values():  # Each server's part of the fleet may be another one now.
+            for seat in members:
+                seat.no_turn_before = 0
         return Changed(list(changed.values()), self._forget(now, fade))
 
     def _replace(self, seat: Seat, info: Server, now: int, fade: float) -> None:
@@ -478,12 +506,13 @@
     def _enter(self, seat: Seat) -> None:
         """Put a server into the indexes that its entry asks for."""
         info, role = seat.info, seat.role
-        if info.started_at:
-            self._young[info.id] = seat
         if info.state is not ServerState.READY:
             return
         for asked in {role, Role.READ, Role.WRITE} if role is Role.BOTH else {role}:
             self._ready[asked].put(info.id, seat)
+            if info.started_at:
+                self._young[asked].put(info.id, seat)
+                self._first_start = min(self._first_start, info.started_at)
         seat.group = self._group(role, info.zone if self.by_zone else 0)
         if role is not Role.WRITE:
             self._column = None
@@ -497,11 +526,10 @@
     def _leave(self, seat: Seat) -> None:
         """Take a server out of every index over entries."""
         info, role = seat.info, seat.role
-        self._young.pop(info.id, None)
         if info.state is not ServerState.READY:
             return
-        for ready in self._ready.values():
-            ready.remove(info.id)
+        for members in (*self._ready.values(), *self._young.values()):
+            members.remove(info.id)
         if role is not Role.WRITE:
             self._column = None
             self.latency.remove(info.id)
@@ -537,7 +565,6 @@
         for seat in forgotten:
             server = seat.info.id
             del self.seats[server], self._gone[server]
-            self._young.pop(server, None)
             self._blamed.pop(server, None)
             self._reported.pop(server, None)
             self.loaded.pop(server, None)
@@ -627,11 +654,15 @@
             del self._blamed[server]
         return [seat for server, seat in self._blamed.items() if server in self._ready[role]]
 
-    def cold(self, role: Role, since: int) -> list[Seat]:
+    def cold(self, role: Role, since: int) -> Collection[Seat]:
         """Ready servers of a role that have started after a moment, by their numbers; the others are warm from now on."""
-        for server in [server for server, seat in self._young.items() if seat.info.started_at <= since]:
-            del self._young[server]
-        return [self._young[server] for server in sorted(self._young) if server in self._ready[role]]
+        if self._first_start <= since:
+            for members in self._young.values():
+                for seat in [seat for seat in members if seat.info.started_at <= since]:
+                    members.remove(seat.info.id)
+            starts = (seat.info.started_at for members in self._young.values() for seat in members)
+            self._first_start = min(starts, default=math.inf)
+        return self._young[role]
 
     def busy(self, since: int) -> dict[int, Seat]:
         """Servers at which something of this node's waits or runs, or that have reported after a moment."""
--- a/tuliptrack/structures/grouped_values.py
+++ b/tuliptrack/structures/grouped_values.py
@@ -83,7 +83,7 @@
             raise ValueError("no median of nothing")
         place = (count - 1) // 2
         for pair in left_out:  # In rising order: each one at or before the place moves it on by one.
-            if bisect_left(values, pair) > place:
+            if pair > values[place]:
                 break
             place += 1
         return values[place][0]
