--- a/tuliptrack/lab/capacity/page.py
+++ b/tuliptrack/lab/capacity/page.py
@@ -555,7 +555,10 @@
         plan = run["plan"]
         size = f"{plan['nodes']} x {plan['engines']}, {plan['rate']:g} requests/s a node"
         for phase in run["phases"]:
-            spread = max(phase["spread_s"], default=0.0)
+            late = [one for one in phase["spread_s"] if one is None]
+            spread = (
+                f"not all in the part ({len(late)})" if late else f"{max(phase['spread_s'], default=0.0):.2f}"
+            )
             rows.append(
                 [
                     name,
@@ -563,7 +566,7 @@
                     phase["name"],
                     str(phase["changes"]),
                     str(phase["entries"]),
-                    f"{spread:.2f}",
+                    spread,
                     f"{100 * phase['node_core_share']:.2f}",
                     f"{phase['list_bytes_per_s']:,.0f}",
                     f"{phase['calls_per_s']:.1f}",
--- a/tuliptrack/lab/hollow/fleet.py
+++ b/tuliptrack/lab/hollow/fleet.py
@@ -77,8 +77,8 @@
     name: str
     changes: int = 0
     entries: int = 0
-    spread_s: list[float] = field(default_factory=list)
-    """Of each change: until the last node had it."""
+    spread_s: list[float | None] = field(default_factory=list)
+    """Of each change: until the last node had it; None where one had not when the part was over."""
     node_core_share: float = 0.0
     """Processor seconds a second of one node: its discovery client, list and decisions."""
     list_bytes_per_s: float = 0.0
@@ -235,7 +235,8 @@
             whole_lists=int(used["whole_lists"]),
         )
         for revision, at in revisions.items():
-            phase.spread_s.append(round(self._last_to_have(revision) - at, 3))
+            spread = max(self._last_to_have(revision) - at, 0.0)
+            phase.spread_s.append(round(spread, 3) if spread < math.inf else None)
         self.report.phases.append(phase)
 
     def _last_to_have(self, revision: int) -> float:
--- a/tuliptrack/lab/hollow/node.py
+++ b/tuliptrack/lab/hollow/node.py
@@ -29,6 +29,7 @@
     taken: dict[int, float] = field(default_factory=dict)
     """By revision of the list, when this node had it."""
     longest_event_s: float = 0.0
+    """Of processor time, as are the two below."""
     list_s: float = 0.0
     """Seconds spent on lists: parsed ones taken, the router told."""
     decision_s: float = 0.0
@@ -75,14 +76,14 @@
 
     def _listed(self, told: Any, first: bool) -> bool:
         """As the platform's node takes a list: see `relay/__main__.py`."""
-        began = time.perf_counter()
+        began = time.thread_time()
         change = self.members.take(told, anew=first)
         if change is None:
             return False
         known, self._last = self._last, (change.kind, change.version)
         if (known != self._last or first) and (change.kind is not ListKind.DELTA or change.servers):
             self._tell(change)
-        took = time.perf_counter() - began
+        took = time.thread_time() - began
         self.report.list_s += took
         self.report.longest_event_s = max(self.report.longest_event_s, took)
         self.report.taken.setdefault(self.members.revision, time.monotonic())
@@ -94,9 +95,9 @@
         self._decide(self.traffic.request())
 
     def _decide(self, event: Event) -> None:
-        began = time.perf_counter()
+        began = time.thread_time()
         self._tell(event)
-        took = time.perf_counter() - began
+        took = time.thread_time() - began
         self.report.decision_s += took
         self.report.longest_event_s = max(self.report.longest_event_s, took)
 
