--- /dev/null
+++ b/tests/lab/test_capacity.py
@@ -0,0 +1,113 @@
+"""Fits, result files and the page: no figure stands in `docs/CAPACITY.md` without its run."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from tuliptrack.cli.main import main
+from tuliptrack.lab.capacity.fit import Fit, Form, fit
+from tuliptrack.lab.capacity.page import ROWS, page_with_tables, read_fleets
+from tuliptrack.lab.capacity.results import ResultError, Results, Series
+from tuliptrack.lab.capacity.target import TARGET
+
+ROOT = Path(__file__).resolve().parents[2]
+SIZES = (100.0, 200.0, 800.0, 3_200.0)
+
+
+def of(curve: list[float]) -> Fit:
+    return fit(list(zip(SIZES, curve, strict=True)))
+
+
+def test_a_line_a_power_and_a_bend_are_told_apart() -> None:
+    line = of([7 + 3 * size for size in SIZES])
+    assert line.form is Form.LINE and line.at(1_000) == pytest.approx(3_007) and line.residual < 1e-9
+    power = of([5 * size**0.5 for size in SIZES])
+    assert power.form is Form.POWER and power.b == pytest.approx(0.5) and power.at(10_000) == pytest.approx(500)
+    assert power.extrapolated(10_000) and not power.extrapolated(300)
+    bent = of([1.0, 1.0, 1.0, 40.0])
+    assert bent.form is Form.BENT
+    with pytest.raises(ValueError, match="bends"):
+        bent.at(1_000)
+    with pytest.raises(ValueError, match="at least four"):
+        fit([(1.0, 1.0), (2.0, 2.0), (3.0, 3.0)])
+
+
+def test_a_measured_size_is_taken_as_measured_and_others_by_the_fit() -> None:
+    series = Series("x", "bytes", "engines", tuple((size, 2 * size + (size == 800)) for size in SIZES))
+    assert series.at(800) == 1_601 and series.at(1_600) == pytest.approx(3_200, rel=0.01)
+
+
+def test_result_files_that_cant_be_used_are_named(tmp_path: Path) -> None:
+    path = tmp_path / "r.json"
+    with pytest.raises(ResultError, match=r"r\.json: No such file"):
+        Results.read(path)
+    for text, says in (("nope", "no result file"), ('{"format": 9}', "format: must be 1, is 9"), ("[]", "format: must be"),
+                       ('{"format": 1}', "series: can't be read")):
+        path.write_text(text)
+        with pytest.raises(ResultError, match=says):
+            Results.read(path)
+    results = Results(yardstick_us=200.0)
+    results.add(Series("list.bytes", "bytes", "engines", tuple((size, size) for size in SIZES)))
+    results.write(path)
+    assert Results.read(path).at("list.bytes", 100.0) == 100.0
+    with pytest.raises(ResultError, match=r"'decision\.request' is missing: the file is stale"):
+        Results.read(path, ["list.bytes", "decision.request"])
+    with pytest.raises(ResultError, match="stale"):
+        Results.read(path).at("decision.request", 100.0)
+
+
+def test_the_page_is_what_its_result_files_give() -> None:
+    results = Results.read(ROOT / "bench" / "capacity.json")
+    fleets = read_fleets(sorted((ROOT / "bench").glob("fleet-*.json")))
+    assert fleets, "runs of the hollow fleet"
+    page = (ROOT / "docs" / "CAPACITY.md").read_text()
+    assert page_with_tables(page, results, fleets) == page, "python bench/capacity.py render"
+
+
+def test_the_page_names_a_carrier_or_what_is_missing_and_every_budget_is_judged() -> None:
+    results = Results.read(ROOT / "bench" / "capacity.json")
+    assert {row.role for row in ROWS} == {"node", "agent", "controller", "record holder", "discovery's agent", "engine"}
+    for row in ROWS:
+        assert row.mechanism and all(value >= 0 for value in row.values(results)), row.what
+        assert (row.ratio(results) is None) == (row.budget is None)
+
+
+def test_the_arithmetic_of_the_target() -> None:
+    assert TARGET.node_requests_per_s == pytest.approx(7.14, abs=0.01)
+    assert TARGET.answer_tokens == 276
+    assert TARGET.node_streams == pytest.approx(138, abs=1)
+    assert TARGET.zone_engines == 425
+    assert 1 / TARGET.config_changes_per_s == pytest.approx(16.3, abs=0.1)
+
+
+@pytest.mark.parametrize(("options", "says"), [
+    (("--nodes", "0"), "--nodes: must lie in [1, 2000], got 0"),
+    (("--engines", "63"), "--engines: must lie in [64, 10000], got 63"),
+    (("--processes", "201"), "--processes: must lie in [1, 200], got 201"),
+    (("--processes", "199", "--list-servers", "4"), "--processes: 200 at most"),
+    (("--rate", "0"), "--rate: must lie in [0.01, 100.0], got 0.0"),
+    (("--nodes", "2000", "--engines", "10000"), "--nodes: "),
+])
+def test_a_fleet_that_cant_be_played_is_told_in_one_line(options: tuple[str, ...], says: str) -> None:
+    done = CliRunner().invoke(main, ["lab", "fleet", *options])
+    assert done.exit_code == 2 and says in done.output and "Traceback" not in done.output
+
+
+def test_a_small_fleet_of_hollow_nodes_hears_of_every_change(tmp_path: Path) -> None:
+    """Real discovery clients, lists and decisions in processes; judged by what the list servers and the nodes counted."""
+    path = tmp_path / "fleet.json"
+    done = CliRunner().invoke(main, ["lab", "fleet", "--nodes", "6", "--engines", "64", "--processes", "2", "--list-servers",
+                                     "2", "--rate", "3", "--seconds", "2", "--settle", "2", "--json", str(path)])
+    assert done.exit_code == 0, done.output
+    told = json.loads(path.read_text())
+    phases = {phase["name"]: phase for phase in told["phases"]}
+    assert phases["start of all"]["whole_lists"] == 6, "one whole list for each node, and no more after it"
+    assert all(phase["whole_lists"] == 0 for name, phase in phases.items() if name != "start of all")
+    assert all(spread < 6.0 for phase in phases.values() for spread in phase["spread_s"]), "told within six seconds"
+    assert phases["a zone lost"]["entries"] == phases["the zone back, cold"]["entries"] == 8
+    assert phases["half of the readers become writers"]["entries"] == 16
+    assert told["processes"] == 4 and told["requests"] > 50 and told["cold_most_of_budget"] <= 1.0
