--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -101,7 +101,7 @@
     engines, controlled = sizes_of(sizes, 12, 10_000), sizes_of(hosts, 3, 1_000)
     results = Results(
         python=platform.python_version(),
-        command=" ".join(["python bench/capacity.py", *sys.argv[1:]]),
+        command=_command(sizes, hosts, before),
         commit=_commit(),
     )
     by_engines = node.NodeCosts()
@@ -135,6 +135,12 @@
     results.write(path)
 
 
+def _command(sizes: str, hosts: str, before: str) -> str:
+    """What was run, but for where its result went."""
+    beside = f" --before {before}" if before else ""
+    return f"python bench/capacity.py measure --sizes {sizes} --hosts {hosts}{beside}"
+
+
 def _unit(name: str) -> str:
     name = name.removeprefix(BEFORE)
     return UNITS.get(name) or UNITS[name.partition(".")[0]]
