Unused parts of the capacity measurement go; claims of the index pages follow a run

On reading the whole change again: GroupedValues.groups and value, LISTS and a field of the timing had no caller; units were looked up twice for each series.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,7 +17,7 @@
 from tuliptrack.brain import Router
 from tuliptrack.lab.capacity import control, node, processes
 from tuliptrack.lab.capacity.page import page_with_tables, read_fleets
-from tuliptrack.lab.capacity.results import ResultError, Results, Series
+from tuliptrack.lab.capacity.results import ResultError, Results
 from tuliptrack.lab.capacity.yardstick import Yardstick
 from tuliptrack.node.logs import set_up
 
@@ -55,18 +55,18 @@
 BEFORE = "before."  # of the series of another router, measured in the same run
 
 
-def sizes_of(text: str, least: int, most: int) -> tuple[int, ...]:
+def sizes_of(option: str, text: str, least: int, most: int) -> tuple[int, ...]:
     """Sizes from `1,2,3`; a UsageError names what can't be one."""
     try:
         sizes = tuple(sorted({int(part) for part in text.split(",")}))
     except ValueError:
         raise click.UsageError(
-            f"--sizes: must be whole numbers with commas between, is {text[:60]!r}"
+            f"{option}: must be whole numbers with commas between, is {text[:60]!r}"
         ) from None
     if len(sizes) < 4:
-        raise click.UsageError(f"--sizes: at least four are needed for a fit, got {len(sizes)}")
+        raise click.UsageError(f"{option}: at least four are needed for a fit, got {len(sizes)}")
     if sizes[0] < least or sizes[-1] > most:
-        raise click.UsageError(f"--sizes: must lie in [{least}, {most}], got {text[:60]!r}")
+        raise click.UsageError(f"{option}: must lie in [{least}, {most}], got {text[:60]!r}")
     return sizes
 
 
@@ -98,7 +98,7 @@
 def measure(sizes: str, hosts: str, path: Path, before: str) -> None:
     """Measure every role and write the result file."""
     set_up(json_lines=False, quiet=True)
-    engines, controlled = sizes_of(sizes, 12, 10_000), sizes_of(hosts, 3, 1_000)
+    engines, controlled = sizes_of("--sizes", sizes, 12, 10_000), sizes_of("--hosts", hosts, 3, 1_000)
     results = Results(
         python=platform.python_version(),
         command=_command(sizes, hosts, before),
@@ -129,8 +129,8 @@
         (single, "one"),
         *((costs, name) for name, costs in remembered.items()),
     ):
-        for one in costs.series({**UNITS, "before": "yardsticks"}, by):
-            results.add(Series(one.name, _unit(one.name), by, one.points))
+        for one in costs.series(_unit, by):
+            results.add(one)
     results.yardstick_us = yardstick.median_us
     results.write(path)
 
--- a/tuliptrack/lab/capacity/node.py
+++ b/tuliptrack/lab/capacity/node.py
@@ -20,7 +20,7 @@
 from tuliptrack.lab.hollow.traffic import Decides, DrawnTraffic, Playback, Rates
 from tuliptrack.relay.discovery import Members
 
-__all__ = ["LISTS", "Maker", "NodeCosts", "measure_decisions", "measure_lists", "measure_memory", "playback"]
+__all__ = ["Maker", "NodeCosts", "measure_decisions", "measure_lists", "measure_memory", "playback"]
 
 Maker = Callable[[Settings, int], Any]
 """Makes a router from its settings and seed."""
@@ -32,18 +32,6 @@
 )  # requests before and in a measurement: a minute of traffic at 7.1 a second, and more
 TRACED = 20  # requests whose operations are counted
 IDLE_US = 13_000_000  # microseconds that a node keeps an idle connection to an engine
-LISTS = (
-    "list.bytes",
-    "change.bytes",
-    "list.first",
-    "list.equal",
-    "change.one",
-    "change.handle",
-    "zone.at_once",
-    "zone.one_by_one",
-    "list.operations",
-    "change.operations",
-)
 ZONES = 8
 
 
@@ -57,10 +45,10 @@
         """One more point."""
         self.points[name].append((size, round(value, 6)))
 
-    def series(self, units: dict[str, str], by: str) -> Iterable[Series]:
-        """All of them; `units` by the name's first part or the whole name."""
+    def series(self, unit: Callable[[str], str], by: str) -> Iterable[Series]:
+        """All of them; `unit` of each name."""
         for name, points in self.points.items():
-            yield Series(name, units.get(name) or units[name.partition(".")[0]], by, tuple(points))
+            yield Series(name, unit(name), by, tuple(points))
 
 
 def playback(make: Maker, engines: int, rates: Rates | None = None, seed: int = 1) -> Playback:
@@ -81,7 +69,6 @@
     by_kind: dict[str, list[float]] = field(default_factory=lambda: defaultdict(list))
     kept_until: dict[int, list[int]] = field(default_factory=lambda: defaultdict(list))
     """By engine, the moments until which its idle connections are kept."""
-    where: dict[int, int] = field(default_factory=dict)
     opened: int = 0
     sent: int = 0
 
--- a/tuliptrack/structures/grouped_values.py
+++ b/tuliptrack/structures/grouped_values.py
@@ -51,14 +51,6 @@
     def __contains__(self, key: object) -> bool:
         return key in self._places
 
-    def groups(self) -> list[G]:
-        """Those with members."""
-        return list(self._groups)
-
-    def value(self, key: int) -> float:
-        """A member's value."""
-        return self._places[key][1]
-
     def counts(self, bound: float, without: Collection[int]) -> dict[G, int]:
         """How many members of each group have a value up to the bound, some members left out."""
         found = {group: bisect_right(values, bound, key=_value) for group, values in self._groups.items()}
--- a/tuliptrack/structures/rendezvous.py
+++ b/tuliptrack/structures/rendezvous.py
@@ -3,7 +3,7 @@
 A member's score for a key is `weight / -ln(u)`, u being the key's and the member's hash as a number between 0 and 1. To find
 the first members all hashes are needed, so they are worked out at once: the members' own hashes stand side by side in one
 large integer, a lane of 128 bits each, and the mixing steps are done on that integer. A product of 64 by 64 bits fits into a
-lane, so no lane reaches into the next. For 850 members that takes a fifteenth of the time of one member after another
+lane, so no lane reaches into the next. For 850 members that takes a ninth of the time of one member after another
 (`bench/structures.py`). Standard library only.
 """
 
