--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -204,9 +204,11 @@
     return b"POST /v1/chat/completions?a=1 HTTP/1.1\r\n" + lines.encode() + b"\r\n" + body
 
 
-async def read_reply(reader: asyncio.StreamReader) -> Reply:
+async def read_reply(reader: asyncio.StreamReader, head_within: float | None = None) -> Reply:
+    """Read an answer to its end; TimeoutError where its head takes longer than so many seconds."""
     try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        raw = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), head_within)
+        head = raw.decode("latin-1").split("\r\n")
     except (asyncio.IncompleteReadError, OSError):
         return Reply(0, {}, b"", False)
     fields = {k.lower(): v.strip() for k, _, v in (x.partition(":") for x in head[1:] if x)}
