Halts of a process are not dragging; a writer that could not be reached is not asked again

Where answers take a millisecond, a process that stands still for 20 to 60 ms was taken for a writer that drags, and its streams were handed back; and once its prompt was read anew, a request went back to a writer that it had not reached. Change: `PACE_FLOOR_US`, and writers that gave no answer are left out while there are others. Whether an attempt may have run is asked of its status (`Status.may_have_run`).

--- a/tests/oracle/brain.py
+++ b/tests/oracle/brain.py
@@ -76,6 +76,7 @@
 CALM_US = 2_000_000  # microseconds without a refusal after which refusing has ended, for log and time-outs
 PACE_US = 6_000_000  # microseconds in which what is known of answers' lengths fades: a few answers
 PACE_LOOK_US = 250_000  # microseconds between looks at it
+PACE_FLOOR_US = 100_000  # microseconds: where answers take less, a short halt outlasts many of them
 PACE_RATIO = 3.0  # times longer than its peers' that a dragging server's answers take
 PACE_SURE = 5.0  # log of the odds at which it drags: looked at often, a lower bar is met by chance
 PACE_ENDS = 4.0  # answers of its peers that must have ended lately, lest a common slowness look like its own
@@ -479,7 +480,7 @@
             others, peers = ends - seat.ends, ran_us - seat.ran_us
             if not seat.running or others < PACE_ENDS or peers <= 0:
                 continue
-            usual = seat.ran_us * others / peers
+            usual = seat.ran_us / max(peers / others, PACE_FLOOR_US)
             sure = usual * (1 - 1 / PACE_RATIO) - seat.ends * math.log(PACE_RATIO) >= PACE_SURE
             if not sure or (_PACE not in seat.blamed
                             and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE))):
@@ -642,8 +643,8 @@
             return
         # What follows an attempt that has not answered: the next stage, another server, or the end.
         flight.breaks += event.lone
-        if not event.lone or flight.breaks > LONE_AGAIN:
-            flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
+        again = event.lone and flight.breaks <= LONE_AGAIN
+        flight.tried_at(seat, event.status, again, len(self.fleet.ready(Role.WRITE)))
         jam = event.status is Status.FULL and seat.kind.full > FULL_MOST
         seek = self._pick_writer if flight.held else self._pick_reader
         self._send(flight, None if event.status is Status.MOOT or jam else seek(flight))
--- a/tests/oracle/state.py
+++ b/tests/oracle/state.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any, TypeVar
 
-from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState
+from tuliptrack.interface import FleetChange, ListKind, Request, RequestClass, Role, Server, ServerState, Status
 
 _MASK = (1 << 64) - 1
 SIZE_UNIT = 2**30  # sizes are added up as whole multiples of its inverse
@@ -231,9 +231,22 @@
     """It goes to a zone whose traffic is still coming back, as there is no room elsewhere."""
     wait: int = 0
     """Microseconds until there may be room, where it was refused for want of it."""
+    unanswering: list[int] = field(default_factory=list)
+    """Writers that it could not reach, or at which it was given up without an answer."""
     tried: list[int] = field(default_factory=list)
     """Servers that turned this request away or failed it."""
 
+    def tried_at(self, seat: Seat, status: Status, again: bool, writers: int) -> None:
+        """Note where an attempt has ended, for the choice of the next server. Once its prompt has been read, it may go to any
+        of the writers but those that gave no answer, if there are others; `again`: it may go to the same server once more."""
+        no_answer = seat.role is not Role.READ and status in (Status.TIMEOUT, Status.CONNECT_FAILED)
+        if no_answer and seat.info.id not in self.unanswering:
+            self.unanswering.append(seat.info.id)
+        if status is Status.READ:
+            self.tried = self.unanswering[:] if len(self.unanswering) < writers else []
+        elif no_answer or not again:
+            self.tried = [*self.tried, seat.info.id]
+
     @property
     def unread(self) -> float:
         """Tokens of the prompt that a reader is not likely to have kept."""
--- a/tests/test_dragging.py
+++ b/tests/test_dragging.py
@@ -81,3 +81,21 @@
     assert not router._usable(seat, flight)
     router.refused_at = s.w.now  # room is short
     assert router._usable(seat, flight)
+
+
+def test_a_short_halt_amid_very_short_answers_is_no_dragging() -> None:
+    """A machine may stand still for some tens of milliseconds: many times as long as answers of a millisecond take."""
+    w = world(fleet(writers=4), may_resume=True)
+    for _ in range(300):
+        request, actions = w.ask(after=4 * MS)
+        writer = only(Send, w.end(request, only(Send, actions).server, Status.READ, after=MS)).server
+        w.start(request, writer, after=MS)
+        w.end(request, writer, Status.OK, after=MS, over=True)
+    halted, actions = w.ask()
+    writer = only(Send, w.end(halted, only(Send, actions).server, Status.READ, after=MS)).server
+    w.start(halted, writer, after=MS)
+    w.tell(after=60 * MS)
+    w.router.looked_at = 0  # the next event finds a look due
+    heard = len(w.said)
+    w.tell(after=MS)
+    assert not [action for action in w.said[heard:] if isinstance(action, HandBack)]
--- a/tests/test_lone.py
+++ b/tests/test_lone.py
@@ -69,3 +69,16 @@
     assert told and all(0 < wait <= 500 * MS for wait in told)
     w = world([], max_retry_after=500 * MS)
     assert only(Refuse, w.ask()[1]).retry_after == 0  # nothing is known of when
+
+
+def test_a_writer_that_could_not_be_reached_is_not_asked_again_for_the_request_while_others_stand_by() -> None:
+    """Its connection did not come up in the little time that was left, so that nobody is blamed, and the state was lost."""
+    for seed in range(20):
+        w = world(fleet(readers=1, writers=4), seed=seed)
+        request, actions = w.ask()
+        asked = []
+        for _ in range(2):
+            writer = only(Send, w.end(request, only(Send, actions).server, Status.READ)).server
+            asked.append(writer)
+            actions = w.end(request, writer, Status.CONNECT_FAILED, lone=True, state_lost=True)
+        assert len(set(asked)) == 2, f"seed {seed}: {asked}"
--- a/tuliptrack/brain.py
+++ b/tuliptrack/brain.py
@@ -56,6 +56,7 @@
 CALM_US = 2_000_000  # microseconds without a refusal after which refusing has ended, for log and time-outs
 PACE_US = 6_000_000  # microseconds in which what is known of answers' lengths fades: a few answers
 PACE_LOOK_US = 250_000  # microseconds between looks at it
+PACE_FLOOR_US = 100_000  # microseconds: where answers take less, a short halt outlasts many of them
 PACE_RATIO = 3.0  # times longer than its peers' that a dragging server's answers take
 PACE_SURE = 5.0  # log of the odds at which it drags: looked at often, a lower bar is met by chance
 PACE_ENDS = 4.0  # answers of its peers that must have ended lately, lest a common slowness look like its own
@@ -64,7 +65,6 @@
 LONE_MOST = 4  # such breaks in a row, with no answer between, that speak against the server all the same
 SUBSCRIBE_US = 500_000  # microseconds before a failed call for the list is repeated, jittered
 
-_PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)  # the attempt had no effect
 _BROKEN = (Status.CONNECT_FAILED, Status.RESET)  # what speaks against the whole server
 _ALL = -1  # the key of blame for a whole server; classes have their number, tenants those above
 _PACE = -2  # that for the pace of its answers
@@ -410,7 +410,7 @@
             others, peers = ends - seat.pace.ends, ran_us - seat.pace.ran_us
             if others < PACE_ENDS or peers <= 0:
                 continue
-            usual = seat.pace.ran_us * others / peers
+            usual = seat.pace.ran_us / max(peers / others, PACE_FLOOR_US)
             sure = usual * (1 - 1 / PACE_RATIO) - seat.pace.ends * math.log(PACE_RATIO) >= PACE_SURE
             if not sure or (_PACE not in seat.blamed
                             and dragging >= PACE_MOST * len(self.fleet.ready(Role.WRITE))):
@@ -556,8 +556,7 @@
             self._bad(seat, event, flight)
         if seat.role is not Role.READ:
             self.fleet.load(seat, -flight.cost)
-        given_up = event.status is Status.TIMEOUT  # Even a read may run yet, where its engine hangs.
-        if flight.effect is None and (given_up if seat.role is Role.READ else event.status not in _PROVEN):
+        if flight.effect is None and event.status.may_have_run(seat.role is Role.READ):
             flight.effect = (flight.sent, seat.info)
         flight.at = None
         if event.status is Status.READ:
@@ -571,8 +570,8 @@
             return
         # What follows an attempt that has not answered: the next stage, another server, or the end.
         flight.breaks += event.lone
-        if not event.lone or flight.breaks > LONE_AGAIN:
-            flight.tried = [] if event.status is Status.READ else [*flight.tried, seat.info.id]
+        again = event.lone and flight.breaks <= LONE_AGAIN
+        flight.tried_at(seat, event.status, again, len(self.fleet.ready(Role.WRITE)))
         jam = event.status is Status.FULL and seat.kind.full > FULL_MOST
         seek = self._pick_writer if flight.held else self._pick_reader
         self._send(flight, None if event.status is Status.MOOT or jam else seek(flight))
--- a/tuliptrack/interface.py
+++ b/tuliptrack/interface.py
@@ -106,6 +106,13 @@
     CANCELLED = "cancelled"
     MOOT = "moot"
 
+    def may_have_run(self, reading: bool) -> bool:
+        """Whether an attempt that ended so may have had an effect. A read has none unless it was given up: where its engine
+        hangs it may run yet."""
+        if reading:
+            return self is Status.TIMEOUT
+        return self not in (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.READ)
+
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
