--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -10,8 +10,9 @@
 
 from tuliptrack.cli.main import main
 from tuliptrack.lab.capacity.fit import Fit, Form, fit
-from tuliptrack.lab.capacity.page import ROWS, page_with_tables, read_fleets
+from tuliptrack.lab.capacity.page import page_with_tables, read_fleets
 from tuliptrack.lab.capacity.results import ResultError, Results, Series
+from tuliptrack.lab.capacity.roles import ROWS
 from tuliptrack.lab.capacity.target import TARGET
 
 ROOT = Path(__file__).resolve().parents[2]
