A randomized fault soak with real processes, and failing system calls played in tests

`tuliptrack lab soak`: nodes, engines with a fault proxy before each, the list's agent and clients as processes; faults drawn from the seed overlap in time; judged by what reached engines and clients. The socket and selector shim of its nodes plays each listed errno in tests/rpc/test_failing_calls.py.

--- /dev/null
+++ b/tests/rpc/test_failing_calls.py
@@ -0,0 +1,213 @@
+"""System calls that fail for a while, in each way that Linux documents, at a listener and at connections to engines."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import random
+import selectors
+import socket
+from collections.abc import Iterator
+
+import pytest
+from world import run, until
+
+from tuliptrack.decisions.admission import ByteBudget
+from tuliptrack.lab.soak.shim import CallFaults, FaultySelector, FaultySocket
+from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer
+from tuliptrack.rpc.http1_client import ClientOptions
+from tuliptrack.rpc.http1_exchange import Exchange, How
+from tuliptrack.rpc.http1_pool import Connections, Pool
+from tuliptrack.rpc.loop_errors import log_loop_errors
+
+ACCEPT = (errno.ECONNABORTED, errno.EPROTO, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM)
+OWN_LACK = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
+OWN_NETWORK = (errno.EADDRNOTAVAIL, errno.ENETUNREACH)
+TAKES_UP_S = 0.05
+"""After the trouble's end."""
+
+
+@pytest.fixture
+def faults(monkeypatch: pytest.MonkeyPatch) -> Iterator[CallFaults]:
+    """What fails; nothing yet."""
+    made = CallFaults(accept=(), connect=(), broken=(), close=(), shutdown=(), interrupts=False,
+                      random=random.Random(3))
+    monkeypatch.setattr(FaultySocket, "faults", made)
+    monkeypatch.setattr(socket, "socket", FaultySocket)
+    monkeypatch.setattr(selectors, "DefaultSelector", FaultySelector)
+    yield made
+
+
+def answers(call: HttpCall) -> None:
+    call.respond(200, b"{}")
+
+
+async def serve() -> HttpServer:
+    log_loop_errors(asyncio.get_running_loop())
+    server = HttpServer(answers, lambda call: None, HttpLimits(), ByteBudget(1 << 20))
+    await server.listen()
+    return server
+
+
+async def ask(address: str) -> float:
+    """Seconds until an answer, on a new connection."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+    assert b"200" in await reader.readuntil(b"\r\n")
+    writer.close()
+    return loop.time() - began
+
+
+@pytest.mark.parametrize("number", ACCEPT, ids=[errno.errorcode[n] for n in ACCEPT])
+def test_a_listener_takes_up_again_at_once_whatever_accept_said(
+    number: int, faults: CallFaults, caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def go() -> None:
+        server = await serve()
+        faults.accept = (number,)
+        for _ in range(3):  # In a rhythm, as asyncio's own pause has one.
+            faults.share = 1.0
+            waiting = asyncio.ensure_future(ask(server.address))
+            await asyncio.sleep(0.15)
+            assert not waiting.done() and faults.failed
+            faults.share = 0.0
+            ended = asyncio.get_running_loop().time()
+            await waiting
+            assert asyncio.get_running_loop().time() - ended < TAKES_UP_S
+        assert faults.failed < 400, "it spins"
+        await server.stop()
+
+    run(go)
+    assert not caplog.records, "asyncio had something to say"
+    said = capsys.readouterr().out + capsys.readouterr().err
+    assert said.count("can't be accepted") <= 3 and "Traceback" not in said
+
+
+def test_short_reads_and_writes_change_nothing(faults: CallFaults) -> None:
+    async def go() -> None:
+        server = await serve()
+        faults.share = 0.5
+        for _ in range(20):
+            await ask(server.address)
+        faults.share = 0.0
+        await server.stop()
+
+    run(go)
+
+
+async def exchange_while(pool: Pool, faults: CallFaults, number: int, seconds: float) -> tuple[How, bool, int]:
+    """How an exchange ends whose connection can't be opened for so long; whether it was alone; tries."""
+    faults.connect, faults.share, faults.failed = (number,), 1.0, 0
+    asyncio.get_running_loop().call_later(seconds, lambda: setattr(faults, "share", 0.0))
+    ended: asyncio.Future[How] = asyncio.get_running_loop().create_future()
+    exchange = Exchange("GET", "/", [("host", "a")])
+    exchange.on_end = lambda how, reason: ended.set_result(how)
+    pool.send(exchange)
+    how = await ended
+    faults.share = 0.0
+    return how, exchange.lone, faults.failed
+
+
+@pytest.mark.parametrize("number", [*OWN_LACK, *OWN_NETWORK], ids=[errno.errorcode[n] for n in (*OWN_LACK, *OWN_NETWORK)])
+def test_what_this_machine_lacks_for_a_moment_costs_no_attempt_and_later_blames_no_engine(
+    number: int, faults: CallFaults
+) -> None:
+    async def go() -> None:
+        server = await serve()
+        pool = Pool(server.address, ClientOptions(connect_timeout=250_000), Connections(4))
+        how, _, tries = await exchange_while(pool, faults, number, 0.1)
+        assert how is How.ANSWER and 1 <= tries < 20
+        pool.close_idle()
+        how, lone, _ = await exchange_while(pool, faults, number, 1.0)
+        assert how is (How.NO_ROOM if number in OWN_LACK else How.CONNECT)
+        assert how is How.NO_ROOM or lone, "it speaks against the engine"
+        await pool.close()
+        assert pool.connections.held == 0
+        await server.stop()
+
+    run(go)
+
+
+@pytest.mark.parametrize("number", [errno.ETIMEDOUT, errno.EHOSTUNREACH], ids=["ETIMEDOUT", "EHOSTUNREACH"])
+def test_a_connection_that_breaks_in_an_unusual_way_ends_its_exchange(number: int, faults: CallFaults) -> None:
+    async def go() -> None:
+        taken = asyncio.Event()
+        server = HttpServer(lambda call: taken.set(), lambda call: None, HttpLimits(), ByteBudget(1 << 20))
+        await server.listen()
+        pool = Pool(server.address, ClientOptions(), Connections(4))
+        ended: asyncio.Future[tuple[How, str]] = asyncio.get_running_loop().create_future()
+        exchange = Exchange("GET", "/", [("host", "a")])
+        exchange.on_end = lambda how, reason: ended.set_result((how, reason))
+        pool.send(exchange)
+        await taken.wait()
+        [connection] = pool.links
+        connection.connection_lost(OSError(number, os.strerror(number)))
+        how, reason = await ended
+        assert how is How.RESET and os.strerror(number) in reason
+        await pool.close()
+        await server.stop()
+
+    run(go)
+
+
+@pytest.mark.parametrize("number", [errno.EINTR, errno.EIO], ids=["EINTR", "EIO"])
+def test_a_close_that_fails_has_closed_all_the_same(
+    number: int, faults: CallFaults, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def go() -> None:
+        server = await serve()
+        pool = Pool(server.address, ClientOptions(), Connections(4))
+        faults.close, faults.share = (number,), 1.0
+        for _ in range(3):
+            ended: asyncio.Future[How] = asyncio.get_running_loop().create_future()
+            exchange = Exchange("GET", "/", [("host", "a")])
+            exchange.on_end = lambda how, reason, ended=ended: ended.set_result(how)  # type: ignore[misc]
+            pool.send(exchange)
+            assert await ended is How.ANSWER
+            pool.close_idle()
+        await until(lambda: not server.links and not pool.links)
+        assert pool.connections.held == 0 and faults.failed >= 6
+        await pool.close()
+        await server.stop()
+        faults.share = 0.0
+
+    run(go)
+    assert not caplog.records, "asyncio had something to say"
+
+
+def test_an_end_of_sending_that_fails_closes_the_connection_and_hurts_no_other(
+    faults: CallFaults, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def go() -> None:
+        server = await serve()
+        faults.shutdown = (errno.ENOTCONN,)
+        faults.share = 1.0
+        host, _, port = server.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        assert b"200" in await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+        await until(lambda: not server.links)
+        faults.share = 0.0
+        await ask(server.address)
+        await server.stop()
+
+    run(go)
+    assert not caplog.records, "asyncio had something to say"
+
+
+def test_waits_that_are_interrupted_change_nothing(faults: CallFaults) -> None:
+    async def go() -> None:
+        server = await serve()
+        faults.interrupts, faults.share = True, 0.5
+        for _ in range(20):
+            await asyncio.wait_for(ask(server.address), 5)
+        faults.share = 0.0
+        assert faults.failed
+        await server.stop()
+
+    run(go)
--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -13,6 +13,7 @@
 
 from tuliptrack.cli.errors import BadFile
 from tuliptrack.cli.running import run_until_told
+from tuliptrack.cli.soak import soak
 from tuliptrack.config.textformat import ConfigError, read_file
 from tuliptrack.lab.engine import Engine
 from tuliptrack.node.logs import set_up
@@ -26,6 +27,9 @@
     """The laboratory: stand-in engines and scripted days."""
 
 
+lab.add_command(soak)
+
+
 @lab.command()
 @click.option("--role", type=click.Choice(["READ", "WRITE", "BOTH"]), help="Role, where no model file tells it.")
 @click.option("--model", type=click.Path(), help="EngineModel in text format.")
--- /dev/null
+++ b/tuliptrack/lab/soak/client.py
@@ -0,0 +1,179 @@
+"""Clients of a soak: they send requests to every node, keep connections, and note what they got."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import re
+from dataclasses import dataclass
+
+from tuliptrack.lab.soak.records import Recorder
+from tuliptrack.lab.soak.schedule import QUIET_S
+from tuliptrack.lab.soak.settings import EFFECTS, World
+
+__all__ = ["run_clients"]
+
+_LEAVE_EARLY, _STALL, _LITTLE_TIME, _NEW_CONNECTION, _REST = 0.06, 0.02, 0.04, 0.3, 0.05
+"""Shares of requests: whose client leaves soon, stops in the middle, has hardly any time, connects anew, rests long before."""
+_RETRY_AT_ONCE, _HEDGED = 0.5, 0.05
+"""Shares: of refused requests that are asked again at once, of requests that are sent twice at a time, under two ids."""
+_PAUSE_S, _LONG_REST_S = (0.02, 0.25), (1.0, 4.0)
+_WAITS_LONGER_S = 3.0
+"""For so long past its time a client still looks for its answer."""
+_BAD_CLIENT_S = 3.5
+_MOST_LINES = 1 << 20
+_REFUSED = 503
+_WRITTEN_AT = re.compile(rb'"at":([0-9.]+)')
+
+
+@dataclass
+class _Connection:
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    status: int = -1
+    """Of the answer that has begun; -1: none has."""
+    given_up: bool = False
+    """The client waits no longer."""
+    held_back: float = 0.0
+    """The longest time from an engine's write of an event to its arrival here."""
+
+    def note_events(self, data: bytes, now: float) -> None:
+        """Events have come."""
+        for written in _WRITTEN_AT.findall(data):
+            self.held_back = max(self.held_back, now - float(written))
+
+    def close(self) -> None:
+        self.writer.close()
+
+
+async def run_clients(world: World, recorder: Recorder, seed: int) -> None:
+    """Run all of this process's clients until shortly before the soak's end."""
+    count = world.schedule.clients
+    await asyncio.gather(*(_Client(world, recorder, f"{seed}-{number}").run() for number in range(count)))
+
+
+class _Client:
+    """One client: one request after another."""
+
+    def __init__(self, world: World, recorder: Recorder, name: str) -> None:
+        self.world, self.recorder, self.name = world, recorder, name
+        self.random = random.Random(f"{world.schedule.seed} client {name}")
+        self.kept: dict[str, _Connection] = {}
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        until = self.world.began + self.world.schedule.seconds - QUIET_S / 2
+        number = 0
+        while loop.time() < until:
+            await asyncio.sleep(self.random.uniform(*(_LONG_REST_S if self.random.random() < _REST else _PAUSE_S)))
+            if self.random.random() < _HEDGED:
+                await asyncio.gather(self._ask(f"{self.name}-{number}"), self._ask(f"{self.name}-{number}h"))
+            elif await self._ask(f"{self.name}-{number}") == _REFUSED and self.random.random() < _RETRY_AT_ONCE:
+                await self._ask(f"{self.name}-{number}r")
+            number += 1
+        for connection in self.kept.values():
+            connection.close()
+
+    async def _ask(self, call_id: str) -> int:
+        """Send one request; its answer's status, 0 or less where there was none."""
+        node = self.random.choice(self.world.schedule.node_names)
+        connection, kept = await self._connection(node)
+        if connection is None:
+            return 0
+        effect = self.random.choice(EFFECTS)
+        deadline = self.world.schedule.deadlines_s[EFFECTS.index(effect)]
+        budget = 0.02 if self.random.random() < _LITTLE_TIME else self.random.uniform(0.5, 1.0) * deadline
+        data = self._request(call_id, effect, budget)
+        if self.random.random() < _STALL:
+            await self._stall(connection, node, call_id, data)
+            return 0
+        sent = asyncio.get_running_loop().time()
+        self.recorder.note("sent", id=call_id, node=node, effect=effect, budget=budget, kept=kept)
+        leaves = self.random.uniform(0.0, 0.3) if self.random.random() < _LEAVE_EARLY else None
+        status, whole, reusable = await self._exchange(connection, data, budget, leaves)
+        if leaves is not None and connection.given_up:
+            connection.close()
+            self.recorder.note("left", id=call_id)
+            return 0
+        if status == 0 and kept:  # Its end crossed the request: it is sent once more, on a new connection.
+            connection.close()
+            again, _ = await self._connection(node, new=True)
+            if again is None:
+                self.recorder.note("answer", id=call_id, status=0, whole=False, after=asyncio.get_running_loop().time() - sent,
+                                   crossed=True, unreachable=True)
+                return 0
+            connection = again
+            self.recorder.note("sent again", id=call_id)
+            status, whole, reusable = await self._exchange(connection, data, budget, None)
+        self.recorder.note("answer", id=call_id, status=status, whole=whole, after=asyncio.get_running_loop().time() - sent,
+                           given_up=connection.given_up, held_back=round(connection.held_back, 4))
+        if reusable and status > 0 and node not in self.kept:
+            self.kept[node] = connection
+        else:
+            connection.close()
+        return status
+
+    def _request(self, call_id: str, effect: str, budget: float) -> bytes:
+        body = b'{"stream":true,"x":"%s"}' % (b"x" * self.random.choice((10, 2_000, 60_000)))
+        head = (f"POST /v1/chat/completions HTTP/1.1\r\nHost: api\r\nX-Call-Id: {call_id}\r\nX-Call-Class: {effect}\r\n"
+                f"X-Caller: acme\r\nX-Route-Hash: {self.random.randint(1, 50)}\r\nX-Budget: {budget:.3f}\r\n"
+                f"X-Call-Info: prefix={self.random.randint(1, 9)},prompt_len=90,prefix_len=40,max_out=20\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n")
+        return head.encode() + body
+
+    async def _connection(self, node: str, new: bool = False) -> tuple[_Connection | None, bool]:
+        """A connection to a node, and whether it was kept; none where the node can't be reached."""
+        kept = self.kept.pop(node, None)
+        if kept and not new and self.random.random() >= _NEW_CONNECTION:
+            return kept, True
+        if kept:
+            kept.close()
+        host, _, port = self.world.nodes[node].rpartition(":")
+        try:
+            return _Connection(*await asyncio.open_connection(host, int(port), limit=_MOST_LINES)), False
+        except OSError:
+            return None, False
+
+    async def _stall(self, connection: _Connection, node: str, call_id: str, data: bytes) -> None:
+        """Stop in the middle of a request and stay: an error or a close is owed."""
+        loop, began = asyncio.get_running_loop(), asyncio.get_running_loop().time()
+        with contextlib.suppress(OSError):
+            connection.writer.write(data[: len(data) // 2])
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(connection.reader.read(1), _BAD_CLIENT_S)
+        self.recorder.note("stalled", id=call_id, node=node, after=loop.time() - began)
+        connection.close()
+
+    async def _exchange(
+        self, connection: _Connection, data: bytes, budget: float, leaves: float | None
+    ) -> tuple[int, bool, bool]:
+        """Status (0: none, the connection ended; -1: none in time), whether the answer was whole, whether the connection may
+        be used again. An answer that has begun and does not end in time has its status and is not whole."""
+        within = budget + _WAITS_LONGER_S if leaves is None else min(leaves, budget)
+        connection.status, connection.held_back = -1, 0.0
+        try:
+            connection.writer.write(data)
+            return await asyncio.wait_for(self._answer(connection), within)
+        except TimeoutError:
+            connection.given_up = True
+            return connection.status, False, False
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            return 0, False, False
+
+    async def _answer(self, connection: _Connection) -> tuple[int, bool, bool]:
+        reader = connection.reader
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
+        status = connection.status = int(head[0].split(" ")[1])
+        fields = {name: value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)}
+        reusable = fields.get("connection") != "close"
+        if "content-length" in fields:
+            await reader.readexactly(int(fields["content-length"]))
+            return status, True, reusable
+        try:
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                connection.note_events(await reader.readexactly(size + 2), asyncio.get_running_loop().time())
+            await reader.readexactly(2)
+        except (asyncio.IncompleteReadError, OSError, ValueError):
+            return status, False, False
+        return status, True, reusable
--- /dev/null
+++ b/tuliptrack/lab/soak/violation.py
@@ -0,0 +1,16 @@
+"""What a judge of a soak finds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Violation"]
+
+
+@dataclass(frozen=True)
+class Violation:
+    """An invariant that did not hold."""
+
+    rule: str
+    request: str
+    text: str
