Tests of one process on virtual time; a thousand streams wait as long as it takes, and all are served

Its clock was the machine's, so it measured the machine. test_a_thousand_streams (828 of 900): six at once on one core serve 83 to 158 of 1,000, the rest refused for overload: the client's 50 s were less than the queue at the pace of a slow process.

Change: `tests/virtual_time.py`, a loop whose clock stands still while anything is to be done and jumps to the next timer when nothing is; sockets stay real. The two files of the gRPC node's leases run on it, and their slack of 0.05 s is gone: stricter. A thousand streams have a class that waits and no time limit; all 1,000 have to be served where 900 were wanted.

With the lease's end taken out the writer's case fails (1.009 s held of 0.3).

--- a/tests/node/test_leases_on_grpc.py
+++ b/tests/node/test_leases_on_grpc.py
@@ -42,7 +42,7 @@
             assert held_for(w)
             assert max(held_for(w)) <= RELEASE_WITHIN_US
 
-    run(go)
+    run(go, virtual=True)
 
 
 def test_a_client_that_leaves_while_a_connection_comes_up_ends_the_attempt_at_once() -> None:
@@ -56,4 +56,4 @@
             await until(lambda: w.seen("let go"))
             assert max(held_for(w)) <= RELEASE_WITHIN_US
 
-    run(go)
+    run(go, virtual=True)
--- a/tests/node/test_silent_connections_on_grpc.py
+++ b/tests/node/test_silent_connections_on_grpc.py
@@ -14,7 +14,6 @@
 from tuliptrack.rpc.status import Code
 
 RELEASE_WITHIN_US = 300_000
-SLACK_US = 50_000  # of this process, which plays the engines too
 REQUESTS = 12
 NEVER = 1 << 62
 
@@ -82,6 +81,6 @@
             ends = [await one.wait() for one in asked]
             await until(lambda: not w.node.table.open)
             assert sum(end.status.code is Code.OK for end in ends) >= 0.9 * REQUESTS
-            assert longest_held(w, since) <= RELEASE_WITHIN_US + SLACK_US
+            assert longest_held(w, since) <= RELEASE_WITHIN_US
 
-    run(go)
+    run(go, virtual=True)
--- a/tests/rpc/test_stock_peers.py
+++ b/tests/rpc/test_stock_peers.py
@@ -213,23 +213,27 @@
 
 
 def test_a_thousand_streams_on_one_connection() -> None:
+    """Each is served, on a slow machine too: their class waits as long as it takes, so that none is refused for overload."""
     async def go() -> None:
         model = "slots: 600 queue: 600 memory_tokens: 100000000 read_per_s: 1e9 answer_least: 12 answer_most: 12"
-        async with world(model=model, settings="limits { streams_per_connection: 1000 }") as w:
-            w.channel.options = Options(connect_timeout=2_000_000, max_links=1)
+        settings = """
+            request_class { name: "patient" worth: 1 aim_ms: 86400000 deadline_ms: 86400000 }
+            engines { connect_timeout_ms: 20000 }
+            limits { streams_per_connection: 1000 }"""
+        async with world(model=model, settings=settings) as w:
+            w.channel.options = Options(connect_timeout=20_000_000, max_links=1)
             asked = []
             for n in range(1000):
-                asked.append(w.ask(timeout=50, request_class="bulk"))
+                asked.append(w.ask(timeout=None, request_class="patient"))
                 if n % 50 == 49:
                     await asyncio.sleep(0.02)
             ends = [await one.wait() for one in asked]
-            served = [one for one, end in zip(asked, ends, strict=True) if end.status.code is Code.OK]
-            assert len(w.channel.links) == 1 and len(served) > 900
-            assert all(end.how is How.STATUS for end in ends)
-            for one in served:
+            assert len(w.channel.links) == 1
+            assert [(end.how, end.status.code) for end in ends] == [(How.STATUS, Code.OK)] * 1000
+            for one in asked:
                 one.check_tokens()
 
-    run(go, 60)
+    run(go, 150)
 
 
 def test_pings_for_proofs_do_not_make_a_stock_server_end_the_connection() -> None:
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,85 @@
+"""An event loop on virtual time, for worlds whose parties all live in this process.
+
+The loop's clock stands still while anything is to be done or to be read, and jumps to the next timer when nothing is. So
+what a test measures in seconds is what its timers say, whatever else the machine does. Sockets are real: a jump is made only
+after they have brought nothing for `GRACE_S` of real time. Processes and threads would be overtaken by it: tests with those
+run on real time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+import time
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import contextmanager
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from tuliptrack.rpc import clock
+
+__all__ = ["Stuck", "VirtualTimeLoop", "virtual_time"]
+
+GRACE_S = 0.002  # real seconds in which bytes within the machine surely arrive
+TURN_S = 10e-6  # virtual seconds that each turn of the loop takes, so that no two moments of a chain are one
+START_S = 1_000.0  # virtual time at the start: monotonic clocks are not near zero
+
+
+class Stuck(AssertionError):
+    """The real time allowed is over."""
+
+
+class _VirtualSelector(selectors.EpollSelector):
+    """Waits by moving the virtual clock; its owner's timers decide how far."""
+
+    def __init__(self, real_limit: float) -> None:
+        super().__init__()
+        self.now = START_S
+        self._until = time.monotonic() + real_limit
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """What is ready; where nothing is, the clock moves on by `timeout`."""
+        if time.monotonic() > self._until:
+            raise Stuck("a test on virtual time has taken all the real time that it may")
+        self.now += TURN_S
+        ready = super().select(0)
+        if ready or (timeout is not None and timeout <= 0):
+            return ready
+        ready = super().select(GRACE_S)
+        if not ready and timeout is not None:
+            self.now += timeout
+        return ready
+
+
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """An event loop whose `time()` is virtual."""
+
+    def __init__(self, real_limit: float = 120.0) -> None:
+        """`real_limit`: real seconds after which the loop gives up."""
+        self._virtual = _VirtualSelector(real_limit)
+        super().__init__(self._virtual)
+
+    def time(self) -> float:
+        """Virtual seconds."""
+        return self._virtual.now
+
+
+@contextmanager
+def _program_clock(loop: VirtualTimeLoop) -> Iterator[None]:
+    """The program's monotonic clock is the loop's; its wall clock stays the machine's."""
+    virtual = SimpleNamespace(monotonic_ns=lambda: int(loop.time() * 1e9), time_ns=time.time_ns)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(clock, "time", virtual)
+        yield
+
+
+@contextmanager
+def virtual_time() -> Iterator[Callable[[Coroutine[Any, Any, None]], None]]:
+    """A runner of coroutines on virtual time, the program's clock included."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        loop = runner.get_loop()
+        assert isinstance(loop, VirtualTimeLoop)
+        with _program_clock(loop):
+            yield runner.run
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from google.protobuf import text_format
+from virtual_time import virtual_time
 
 from tuliptrack.config.node import parse
 from tuliptrack.lab.engine import Engine, answer_length, answer_token
@@ -39,8 +40,8 @@
 """
 
 
-def run(make: Callable[[], Coroutine[Any, Any, None]], seconds: float = 30) -> None:
-    """Run a test's coroutine; afterwards no task may be left behind."""
+def run(make: Callable[[], Coroutine[Any, Any, None]], seconds: float = 30, virtual: bool = False) -> None:
+    """Run a test's coroutine; afterwards no task may be left behind. `virtual`: on virtual time, see `virtual_time`."""
 
     async def whole() -> None:
         await asyncio.wait_for(make(), seconds)
@@ -51,7 +52,11 @@
             await asyncio.wait(left, timeout=0.1)
         raise AssertionError(f"tasks left behind: {left}")
 
-    asyncio.run(whole())
+    if virtual:
+        with virtual_time() as run_virtually:
+            run_virtually(whole())
+    else:
+        asyncio.run(whole())
 
 
 async def until(what: Callable[[], object], seconds: float = 10) -> None:
