--- a/tests/rpc/test_failing_calls.py
+++ b/tests/rpc/test_failing_calls.py
@@ -31,7 +31,7 @@
 @pytest.fixture
 def faults(monkeypatch: pytest.MonkeyPatch) -> Iterator[CallFaults]:
     """What fails; nothing yet."""
-    made = CallFaults(accept=(), connect=(), broken=(), close=(), shutdown=(), interrupts=False,
+    made = CallFaults(create=(), accept=(), connect=(), broken=(), close=(), shutdown=(), interrupts=False,
                       random=random.Random(3))
     monkeypatch.setattr(FaultySocket, "faults", made)
     monkeypatch.setattr(socket, "socket", FaultySocket)
@@ -99,9 +99,12 @@
     run(go)
 
 
-async def exchange_while(pool: Pool, faults: CallFaults, number: int, seconds: float) -> tuple[How, bool, int]:
-    """How an exchange ends whose connection can't be opened for so long; whether it was alone; tries."""
-    faults.connect, faults.share, faults.failed = (number,), 1.0, 0
+async def exchange_while(
+    pool: Pool, faults: CallFaults, call: str, number: int, seconds: float
+) -> tuple[How, bool, int]:
+    """How an exchange ends whose connection can't be opened for so long, as this call fails; whether it was alone; tries."""
+    setattr(faults, call, (number,))
+    faults.share, faults.failed = 1.0, 0
     asyncio.get_running_loop().call_later(seconds, lambda: setattr(faults, "share", 0.0))
     ended: asyncio.Future[How] = asyncio.get_running_loop().create_future()
     exchange = Exchange("GET", "/", [("host", "a")])
@@ -112,17 +115,20 @@
     return how, exchange.lone, faults.failed
 
 
-@pytest.mark.parametrize("number", [*OWN_LACK, *OWN_NETWORK], ids=[errno.errorcode[n] for n in (*OWN_LACK, *OWN_NETWORK)])
+OPENING = [("create", number) for number in OWN_LACK] + [("connect", number) for number in (*OWN_LACK, *OWN_NETWORK)]
+
+
+@pytest.mark.parametrize(("call", "number"), OPENING, ids=[f"{call} {errno.errorcode[n]}" for call, n in OPENING])
 def test_what_this_machine_lacks_for_a_moment_costs_no_attempt_and_later_blames_no_engine(
-    number: int, faults: CallFaults
+    call: str, number: int, faults: CallFaults
 ) -> None:
     async def go() -> None:
         server = await serve()
         pool = Pool(server.address, ClientOptions(connect_timeout=250_000), Connections(4))
-        how, _, tries = await exchange_while(pool, faults, number, 0.1)
+        how, _, tries = await exchange_while(pool, faults, call, number, 0.1)
         assert how is How.ANSWER and 1 <= tries < 20
         pool.close_idle()
-        how, lone, _ = await exchange_while(pool, faults, number, 1.0)
+        how, lone, _ = await exchange_while(pool, faults, call, number, 1.0)
         assert how is (How.NO_ROOM if number in OWN_LACK else How.CONNECT)
         assert how is How.NO_ROOM or lone, "it speaks against the engine"
         await pool.close()
--- a/tuliptrack/lab/soak/shim.py
+++ b/tuliptrack/lab/soak/shim.py
@@ -23,6 +23,7 @@
 
 __all__ = ["CallFaults", "FaultySelector", "FaultySocket", "install_from_environment", "step_wall_clock"]
 
+_CREATE = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _ACCEPT = (errno.ECONNABORTED, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPROTO)
 _CONNECT = (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS)
 _CLOSE = (errno.EINTR, errno.EIO)
@@ -37,6 +38,7 @@
     """What fails now. `share` of the calls fail; 0: none."""
 
     share: float = 0.0
+    create: tuple[int, ...] = _CREATE
     accept: tuple[int, ...] = _ACCEPT
     connect: tuple[int, ...] = _CONNECT
     broken: tuple[int, ...] = _BROKEN
@@ -64,6 +66,12 @@
     faults = CallFaults()
     """Of all sockets of the process."""
 
+    def __init__(self, family: int = -1, type: int = -1, proto: int = -1, fileno: int | None = None) -> None:
+        """With a descriptor at hand there is no call that could fail."""
+        if fileno is None and self.faults.create and self.faults.strikes():
+            self.faults.fail(self.faults.create)
+        super().__init__(family, type, proto, fileno)
+
     def accept(self) -> Any:
         if self.faults.accept and self.faults.strikes():
             self.faults.fail(self.faults.accept)
