--- /dev/null
+++ b/tests/relay/test_process_failures.py
@@ -0,0 +1,166 @@
+"""A node's own process: its log, settings' file, listening socket and signals, where the system fails for a while."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import errno
+import json
+import os
+import signal
+import socket
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from relay_node import spawn_node, start_node, told
+from relay_world import Peer, Platform, platform, read_reply, reads, request, writes
+from world import run, until
+
+READY_WITHIN_S = 10.0
+TROUBLE_S = 0.8
+"""For so long the system fails a node that starts or reloads."""
+MOVED_WITHIN_S = 4.0
+"""After a signal whose settings could not be read at once."""
+
+FAILING_OPEN = f"""
+import errno, io, os, time
+_open, _began = io.open, time.monotonic()
+def failing(file, *args, **kwargs):
+    if str(file) == os.environ["RELAY_CONFIG"] and time.monotonic() < _began + {TROUBLE_S}:
+        raise OSError(int(os.environ["FAILS_WITH"]), "fails for a moment")
+    return _open(file, *args, **kwargs)
+io.open = failing
+"""
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        return int(taken.getsockname()[1])
+
+
+async def ask(port: int, name: str) -> int:
+    """The status of one request's answer; 0: nobody listens."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    except OSError:
+        return 0
+    try:
+        writer.write(request(name))
+        reply = await asyncio.wait_for(read_reply(reader), 5)
+        return reply.status if reply.whole else -1
+    finally:
+        writer.close()
+
+
+async def serves(process: asyncio.subprocess.Process, port: int) -> None:
+    """Wait until a node serves; its log may be no help."""
+    async with asyncio.timeout(READY_WITHIN_S):
+        while await ask(port, "ready?") != 200:
+            assert process.returncode is None, f"the node has ended: {process.returncode}"
+            await asyncio.sleep(0.02)
+
+
+def known(p: Platform) -> dict[str, object]:
+    """The platform's engines as a node may know them from its settings."""
+    kinds = {"r": "reads", "w": "writes"}
+    return {"revision": 1, "complete": True, "members": [
+        {"id": name, "host_port": peer.address, "locality": "z", "flavor": kinds[name[0]], "cell": 1, "phase": "Ready",
+         "size": 1.0, "up_since_ms": 0} for name, peer in p.engines.items()]}
+
+
+@contextlib.contextmanager
+def full_disk() -> Iterator[int]:
+    descriptor = os.open("/dev/full", os.O_WRONLY)
+    yield descriptor
+    os.close(descriptor)
+
+
+LOGS: dict[str, Callable[[], contextlib.AbstractContextManager[int]]] = {"a full disk": full_disk}
+
+
+@pytest.mark.parametrize("log", ["a full disk"])
+def test_a_log_that_cannot_be_written_costs_no_request(log: str, tmp_path: Path) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            port = free_port()
+            with LOGS[log]() as standard_error:
+                process = await spawn_node(tmp_path / "config.json", told(
+                    p.agent.address, listen=f"127.0.0.1:{port}", known=known(p)), standard_error)
+                try:
+                    await serves(process, port)
+                    statuses = await asyncio.gather(*(ask(port, f"q{n}") for n in range(20)))
+                    assert statuses == [200] * 20
+                    process.send_signal(signal.SIGTERM)
+                    assert await asyncio.wait_for(process.wait(), 10) == 0
+                finally:
+                    await killed(process)
+
+    run(go)
+
+
+async def killed(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+@asynccontextmanager
+async def starting(
+    path: Path, text: str, shim: str = "", **environment: str
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A node's process that has begun, whose log nobody wants."""
+    with open(os.devnull, "wb") as unread:
+        process = await spawn_node(path, text, unread.fileno(), shim, environment)
+        try:
+            yield process
+        finally:
+            await killed(process)
+
+
+@pytest.mark.parametrize("number", [errno.ENFILE], ids=["ENFILE"])
+def test_a_node_starts_where_its_settings_cannot_be_read_for_a_moment(number: int, tmp_path: Path) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            port = free_port()
+            text = told(p.agent.address, listen=f"127.0.0.1:{port}", known=known(p))
+            async with starting(tmp_path / "config.json", text, FAILING_OPEN, FAILS_WITH=str(number)) as process:
+                await serves(process, port)
+
+    run(go)
+
+
+def write_whole(path: Path, text: str) -> None:
+    beside = path.with_suffix(".new")
+    beside.write_text(text)
+    beside.replace(path)
+
+
+def half_written(path: Path, text: str) -> None:
+    path.write_text(text[: len(text) // 2])
+
+
+@pytest.mark.parametrize("trouble", [half_written])
+def test_settings_that_cannot_be_read_at_the_signal_are_read_once_they_can(
+    trouble: Callable[[Path, str], None], tmp_path: Path
+) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            other = await Peer(p.answers).start()
+            path = tmp_path / "config.json"
+            node = await start_node(p.agent.address, path, known=known(p))
+            text = json.dumps({**json.loads(path.read_text()), "discovery": other.address})
+            trouble(path, text)
+            node.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(TROUBLE_S)
+            assert not other.seen
+            if path.is_dir():
+                path.rmdir()
+            write_whole(path, text)
+            await until(lambda: bool(other.seen), MOVED_WITHIN_S)
+            assert sum("settings not taken" in line for line in node.log) == 1, "said once"
+            await node.kill()
+            await other.stop()
+
+    run(go)
--- a/tests/relay_node.py
+++ b/tests/relay_node.py
@@ -7,14 +7,17 @@
 import os
 import sys
 import tomllib
+from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
 
 from relay_world import SETTINGS
 
-__all__ = ["ROOT", "Node", "start_node", "told"]
+__all__ = ["CLOSED", "ROOT", "Node", "spawn_node", "start_node", "told"]
 
 ROOT = Path(__file__).resolve().parents[1]
+CLOSED = -100
+"""In the place of a descriptor: the process has no standard error at all."""
 # What the whole fleet's platform refuses a node, each made to end it at once.
 REFUSED = """
 import os, sys
@@ -64,15 +67,26 @@
                        "known": {"revision": 0, "complete": True, "members": []}, **changes})
 
 
-async def start_node(agent: str, path: Path, descriptors: int = 0, **changes: Any) -> Node:
-    """A node with these settings, once it serves; with so many descriptors at most by the system."""
-    path.write_text(told(agent, **changes))
-    (path.parent / "sitecustomize.py").write_text(REFUSED)
+async def spawn_node(
+    path: Path, settings: str, standard_error: int, shim: str = "", environment: Mapping[str, str] | None = None,
+    descriptors: int = 0,
+) -> asyncio.subprocess.Process:
+    """A node's process with these settings, which may not serve yet. `standard_error`: a descriptor, PIPE or CLOSED; `shim`:
+    what else is run as it starts; `descriptors`: the system's limit on them, 0 for the usual one."""
+    path.write_text(settings)
+    (path.parent / "sitecustomize.py").write_text(REFUSED + shim)
     line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(".venv/bin/python", sys.executable)
     limit = f"ulimit -n {descriptors}; " if descriptors else ""
-    process = await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", limit + line, stderr=asyncio.subprocess.PIPE, cwd=ROOT,
-        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(path.parent)})
+    closed = standard_error == CLOSED
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh", "-c", limit + ("exec 2>&-; " if closed else "") + line,
+        stderr=asyncio.subprocess.DEVNULL if closed else standard_error, cwd=ROOT,
+        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(path.parent), **(environment or {})})
+
+
+async def start_node(agent: str, path: Path, descriptors: int = 0, **changes: Any) -> Node:
+    """A node with these settings, once it serves; with so many descriptors at most by the system."""
+    process = await spawn_node(path, told(agent, **changes), asyncio.subprocess.PIPE, descriptors=descriptors)
     assert process.stderr
     said = []
     while text := (await process.stderr.readline()).decode():
