A node outlives its own log, settings file and address failing for a while

Cause: its own files and its start had no rule for a call that may fail for a moment; sockets had. A line of the log was written by sys.stderr, whose errors rose into whatever was being done (exit 1 on a full disk or behind a reader that had gone) and whose waits stood the process still (a full pipe). Settings and listening socket were tried once (exit 2), a reload too: half a file kept the node at an agent that had moved. SIGHUP ended the program until its handler was there, and one between reading the settings and serving was lost.

--- a/tests/relay/test_process_failures.py
+++ b/tests/relay/test_process_failures.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 import pytest
-from relay_node import spawn_node, start_node, told
+from relay_node import CLOSED, spawn_node, start_node, told
 from relay_world import Peer, Platform, platform, read_reply, reads, request, writes
 from world import run, until
 
@@ -57,7 +57,7 @@
 async def serves(process: asyncio.subprocess.Process, port: int) -> None:
     """Wait until a node serves; its log may be no help."""
     async with asyncio.timeout(READY_WITHIN_S):
-        while await ask(port, "ready?") != 200:
+        while await ask(port, "is-ready") != 200:
             assert process.returncode is None, f"the node has ended: {process.returncode}"
             await asyncio.sleep(0.02)
 
@@ -77,10 +77,40 @@
     os.close(descriptor)
 
 
-LOGS: dict[str, Callable[[], contextlib.AbstractContextManager[int]]] = {"a full disk": full_disk}
+@contextlib.contextmanager
+def pipe_without_reader() -> Iterator[int]:
+    reading, writing = os.pipe()
+    os.close(reading)
+    yield writing
+    os.close(writing)
+
+
+@contextlib.contextmanager
+def pipe_that_is_full() -> Iterator[int]:
+    """Nobody reads it, and it has no room: a write to it waits for ever."""
+    reading, writing = os.pipe()
+    os.set_blocking(writing, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(writing, b"x" * 4096)
+    os.set_blocking(writing, True)
+    yield writing
+    os.close(reading)
+    os.close(writing)
+
+
+@contextlib.contextmanager
+def nothing() -> Iterator[int]:
+    """No standard error at all."""
+    yield CLOSED
+
 
+LOGS: dict[str, Callable[[], contextlib.AbstractContextManager[int]]] = {
+    "a full disk": full_disk, "a reader that has gone": pipe_without_reader, "a reader that stands still": pipe_that_is_full,
+    "closed": nothing}
 
-@pytest.mark.parametrize("log", ["a full disk"])
+
+@pytest.mark.parametrize("log", LOGS)
 def test_a_log_that_cannot_be_written_costs_no_request(log: str, tmp_path: Path) -> None:
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
@@ -119,7 +149,8 @@
             await killed(process)
 
 
-@pytest.mark.parametrize("number", [errno.ENFILE], ids=["ENFILE"])
+@pytest.mark.parametrize("number", [errno.ENFILE, errno.EMFILE, errno.EIO, errno.ENOMEM, errno.ENOENT],
+                         ids=["ENFILE", "EMFILE", "EIO", "ENOMEM", "ENOENT"])
 def test_a_node_starts_where_its_settings_cannot_be_read_for_a_moment(number: int, tmp_path: Path) -> None:
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
@@ -131,6 +162,47 @@
     run(go)
 
 
+def test_a_node_starts_where_its_address_is_still_taken_by_the_one_before(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            with socket.create_server(("127.0.0.1", 0)) as predecessor:
+                port = predecessor.getsockname()[1]
+                text = told(p.agent.address, listen=f"127.0.0.1:{port}", known=known(p))
+                async with starting(tmp_path / "config.json", text) as process:
+                    await asyncio.sleep(TROUBLE_S)
+                    predecessor.close()
+                    await serves(process, port)
+
+    run(go)
+
+
+def program_has_begun(process: asyncio.subprocess.Process) -> bool:
+    """Whether the shell has become the node."""
+    return "tuliptrack.relay" in Path(f"/proc/{process.pid}/cmdline").read_text().split("\0")
+
+
+def test_signals_for_new_settings_that_come_while_a_node_starts_end_nothing_and_are_heeded(tmp_path: Path) -> None:
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            other = await Peer(p.answers).start()
+            port, path = free_port(), tmp_path / "config.json"
+            changes = {"listen": f"127.0.0.1:{port}", "known": known(p)}
+            async with starting(path, told(p.agent.address, **changes)) as process:
+                await until(lambda: program_has_begun(process))
+                for _ in range(20):  # From the program's first instruction on, through its imports and its start.
+                    process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.01)
+                write_whole(path, told(other.address, **changes))
+                while await ask(port, "is-ready") != 200:
+                    assert process.returncode is None, f"the node has ended: {process.returncode}"
+                    process.send_signal(signal.SIGHUP)
+                    await asyncio.sleep(0.002)
+                await until(lambda: bool(other.seen), MOVED_WITHIN_S)
+            await other.stop()
+
+    run(go)
+
+
 def write_whole(path: Path, text: str) -> None:
     beside = path.with_suffix(".new")
     beside.write_text(text)
@@ -141,7 +213,17 @@
     path.write_text(text[: len(text) // 2])
 
 
-@pytest.mark.parametrize("trouble", [half_written])
+def missing(path: Path, text: str) -> None:
+    path.unlink()
+
+
+def not_readable(path: Path, text: str) -> None:
+    """A folder in the file's place fails as it is read."""
+    path.unlink()
+    path.mkdir()
+
+
+@pytest.mark.parametrize("trouble", [half_written, missing, not_readable])
 def test_settings_that_cannot_be_read_at_the_signal_are_read_once_they_can(
     trouble: Callable[[Path, str], None], tmp_path: Path
 ) -> None:
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -21,10 +21,10 @@
 from tuliptrack import interface as io
 from tuliptrack.decisions.admission import AdmissionLimits, ByteBudget
 from tuliptrack.node.core import Core
-from tuliptrack.node.logs import set_up
+from tuliptrack.node.logs import lines_lost, set_up
 from tuliptrack.node.request_reader import CoreLimits
 from tuliptrack.node.requests import Record, State
-from tuliptrack.relay.config import RelayConfig, RelayConfigError, load
+from tuliptrack.relay.config import RelayConfig, RelayConfigError, RelayConfigUnreadable, load
 from tuliptrack.relay.discovery import MOST_CALLS, Discovery, ListError, Members
 from tuliptrack.relay.engines import HttpEngines
 from tuliptrack.relay.front import Front
@@ -34,6 +34,7 @@
 from tuliptrack.rpc.http1_pool import Connections
 from tuliptrack.rpc.listener import ACCEPTED_AT_ONCE
 from tuliptrack.rpc.loop_errors import log_loop_errors
+from tuliptrack.rpc.retry import retry, retry_async
 
 __all__ = ["Relay", "main"]
 
@@ -42,6 +43,8 @@
 _KILLED_S = (3.0, 0.7)  # SIGKILL follows SIGTERM no sooner than the longest deadline, or this, and so much more
 _FORGIVEN_S = 0.6  # after SIGTERM; what comes later must be answered before SIGKILL
 _CLOSE_S, _CUT_S = 1.1, 0.5  # before SIGKILL may come: when to give streams back, and to end what came late
+_START_S = 5.0  # seconds for which a start is tried again, where the settings or the address can't be had yet
+_RELOAD_S, _RELOAD_AGAIN_S = 10.0, 0.1  # seconds for which, and after which, settings that could not be read are read again
 _LIST_S = 2.0  # seconds that a node without engines waits for a list before it says that it is ready all the same
 _SILENCE = 4_000_000  # microseconds: a client may be left waiting on a stream that has stopped for 5 s
 # Descriptors that neither clients nor engines get: log and standard streams (3), listener, selector, its wake-up (2), the
@@ -79,6 +82,8 @@
         """Of the last list taken."""
         self._sweeper: asyncio.Task[None] | None = None
         self._getting_ready: asyncio.TimerHandle | None = None
+        self._reload: asyncio.TimerHandle | None = None
+        """When settings that could not be read are read again."""
 
     async def start(self) -> str:
         """Serve; returns host:port. It is ready once what it is asked is looked at: it listens, and knows engines, from its
@@ -86,7 +91,8 @@
         self.listed(self.config.known, cached=True)
         self.source.start()
         host, _, port = self.config.listen.rpartition(":")
-        address = await self.front.server.listen(host, int(port))
+        address = await retry_async(f"listening at {self.config.listen}",
+                                    lambda: self.front.server.listen(host, int(port)), _START_S)
         self._sweeper = asyncio.get_running_loop().create_task(self._sweep())
         if self.members.addresses:
             self.front.ready = True
@@ -128,7 +134,7 @@
     def counted(self) -> dict[str, int]:
         connections = self.pools.connections
         return {**super().counted(), "connections_made": connections.made, "connections_silent": connections.silent,
-                "open_requests": len(self.table.open)}
+                "open_requests": len(self.table.open), "log_lines_lost": lines_lost()}
 
     def _is_ready(self) -> None:
         """The first list has come, or been waited for."""
@@ -144,14 +150,29 @@
     def reload(self) -> None:
         """Read the settings' file anew: the list's new address holds from now on. What else has changed waits for the
         next start, as requests in flight were let in under the old settings."""
+        self._cancel_reload()
+        self._try_reload(self.now() + int(_RELOAD_S * 1e6))
+
+    def _try_reload(self, until: int, again: bool = False) -> None:
+        """Read it now, and for so long again where it can't be read: it may be just being written."""
+        self._reload = None
         try:
             config = load(os.environ)
         except RelayConfigError as error:
-            log.error("settings not taken", reason=str(error))
+            tries_on = isinstance(error, RelayConfigUnreadable) and self.now() < until
+            if not (again and tries_on):
+                log.error("settings not taken", reason=str(error), read_again=tries_on)
+            if tries_on:
+                self._reload = asyncio.get_running_loop().call_later(_RELOAD_AGAIN_S, self._try_reload, until, True)
             return
         log.info("settings read anew", discovery=config.discovery)
         self.source.move(config.discovery)
 
+    def _cancel_reload(self) -> None:
+        if self._reload:
+            self._reload.cancel()
+            self._reload = None
+
     async def stop(self, grace: float, killed: float) -> None:
         """End, knowing that nothing kills the node for `killed` seconds. Until shortly before, all goes on: clients keep to
         the connections that they have, and where nodes restart one after another there may be no other yet. Then streams
@@ -171,6 +192,7 @@
         self.cut(began + int(_FORGIVEN_S * 1e6))
         await asyncio.sleep(min(killed, _CUT_S))
         await server.stop(grace)
+        self._cancel_reload()
         await self.source.close()
         self.end()
         if self._sweeper:
@@ -188,26 +210,47 @@
             self.pools.sweep()
 
 
-async def _run(config: RelayConfig) -> None:
+class _EarlySignals:
+    """SIGHUP before the node can heed it: noted, lest it end the process or be lost."""
+
+    def __init__(self) -> None:
+        self.noted = False
+        signal.signal(signal.SIGHUP, self._note)
+
+    def _note(self, *_: object) -> None:
+        self.noted = True
+
+
+async def _run(config: RelayConfig, early: _EarlySignals) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     log_loop_errors(loop)
     for name in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(name, stop.set)
     relay = Relay(config)
-    loop.add_signal_handler(signal.SIGHUP, relay.reload)
     await relay.start()
+    loop.add_signal_handler(signal.SIGHUP, relay.reload)
+    if early.noted:
+        relay.reload()
     gc.freeze()
     await stop.wait()
     longest = max(c.deadline for c in config.settings.classes) / 1e6
     await relay.stop(longest * 4, min(longest, _KILLED_S[0]) + _KILLED_S[1])
 
 
+def _load_at_start() -> RelayConfig:
+    return retry("reading the settings", lambda: load(os.environ), _START_S,
+                 lambda error: isinstance(error, RelayConfigUnreadable) and "RELAY_CONFIG" in os.environ)
+
+
 def main() -> int:
     """Run a node until it is told to stop; 2 where its settings can't be used or it can't listen."""
+    early = _EarlySignals()
     set_up(json_lines=False, colours=False)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until it is served
     try:
-        asyncio.run(_run(load(os.environ)))
+        config = _load_at_start()
+        loop = retry("opening an event loop", asyncio.new_event_loop, _START_S)
+        with asyncio.Runner(loop_factory=lambda: loop) as runner:
+            runner.run(_run(config, early))
     except RelayConfigError as error:
         log.error("settings not usable", reason=str(error))
         return 2
--- a/tuliptrack/relay/config.py
+++ b/tuliptrack/relay/config.py
@@ -12,7 +12,7 @@
 from tuliptrack.interface import Settings
 from tuliptrack.wirehost import WireError, settings_of
 
-__all__ = ["RelayConfig", "RelayConfigError", "load", "parse"]
+__all__ = ["RelayConfig", "RelayConfigError", "RelayConfigUnreadable", "load", "parse"]
 
 _LARGEST = 16_777_216  # bytes of the file
 LEAST_SOCKETS = 48  # descriptors below which a node can't serve: what it needs itself and some for clients and engines
@@ -22,6 +22,10 @@
     """Settings that can't be used; the text names the field."""
 
 
+class RelayConfigUnreadable(RelayConfigError):
+    """A file that can't be read, or holds no whole JSON: it may be just being written, or its folder may fail for a while."""
+
+
 @dataclass(frozen=True, slots=True)
 class RelayConfig:
     """One node's settings. Times in microseconds."""
@@ -58,7 +62,7 @@
         with Path(path).open("rb") as file:
             text = file.read(_LARGEST + 1)
     except OSError as error:
-        raise RelayConfigError(f"RELAY_CONFIG: {path}: {error.strerror or error}") from None
+        raise RelayConfigUnreadable(f"RELAY_CONFIG: {path}: {error.strerror or error}") from None
     if len(text) > _LARGEST:
         raise RelayConfigError(f"RELAY_CONFIG: {path}: more than {_LARGEST} bytes")
     config = parse(text, environ)
@@ -75,7 +79,7 @@
     try:
         told = json.loads(text)
     except (ValueError, RecursionError) as error:
-        raise RelayConfigError(f"not JSON ({error})"[:200]) from None
+        raise RelayConfigUnreadable(f"not JSON ({error})"[:200]) from None
     if not isinstance(told, dict):
         raise RelayConfigError("not a JSON object")
     limits = _object(told, "limits")
