--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -39,11 +39,18 @@
 def main(servers: int, requests: int, per_s: float, zones: int) -> None:
     chance = random.Random(1)
     settings = Settings(
-        replicas=4, roles=(Role.READ, Role.WRITE), may_cancel=True, max_attempts=5,
+        replicas=4,
+        roles=(Role.READ, Role.WRITE),
+        may_cancel=True,
+        max_attempts=5,
         classes=(RequestClass("question", 1.0, 1_200_000, 5_000_000), RequestClass("summary", 2.0, 2_500_000, 12_000_000)),
         tenants=(Tenant("a", 0.5, 4 * per_s), Tenant("b", 0.5, 4 * per_s)),
-        report_fields=("in_flight", "memory_share", "tokens_waiting_k"), prompt_bytes=6.0, state_bytes=16.0,
-        answer_bytes=24.0, zone_budgets=(ZoneBudget(1e7, 1e8, 1e5),) if zones else ())
+        report_fields=("in_flight", "memory_share", "tokens_waiting_k"),
+        prompt_bytes=6.0,
+        state_bytes=16.0,
+        answer_bytes=24.0,
+        zone_budgets=(ZoneBudget(1e7, 1e8, 1e5),) if zones else (),
+    )
     router = Router(settings, 1)
     fleet = tuple(Server(n, n % 2, cell=n // 8, zone=n // 2 % zones if zones else 0) for n in range(1, servers + 1))
     took: dict[str, list[float]] = defaultdict(list)
@@ -53,9 +60,24 @@
     for number in range(1, requests + 1):
         at += int(chance.expovariate(per_s) * 1e6)
         prefix = int(200 * chance.random() ** 2) + 1
-        heapq.heappush(queue, (at, next(tie), Request(
-            number, int(chance.random() < 0.2), 5_000_000, 3000.0, 2500.0, 200.0, chance.getrandbits(40), prefix,
-            int(chance.random() < 0.5))))
+        heapq.heappush(
+            queue,
+            (
+                at,
+                next(tie),
+                Request(
+                    number,
+                    int(chance.random() < 0.2),
+                    5_000_000,
+                    3000.0,
+                    2500.0,
+                    200.0,
+                    chance.getrandbits(40),
+                    prefix,
+                    int(chance.random() < 0.5),
+                ),
+            ),
+        )
     tries: dict[int, int] = defaultdict(int)
     ends: dict[str, int] = defaultdict(int)
     while queue:
@@ -71,20 +93,34 @@
             load = (float(chance.randrange(12)), chance.random() * 0.5, chance.random())
             if action.server % 2 == 0:
                 lag = int(30_000 + chance.expovariate(1 / 40_000))
-                heapq.heappush(queue, (now + lag, next(tie), Outcome(
-                    action.id, attempt, action.server, Status.READ, lag, kept_tokens=2000, load=load)))
+                heapq.heappush(
+                    queue,
+                    (
+                        now + lag,
+                        next(tie),
+                        Outcome(action.id, attempt, action.server, Status.READ, lag, kept_tokens=2000, load=load),
+                    ),
+                )
             else:
                 lag = int(20_000 + chance.expovariate(1 / 20_000))
                 heapq.heappush(queue, (now + lag, next(tie), Started(action.id, attempt, action.server, lag)))
-                heapq.heappush(queue, (now + lag + 3_000_000, next(tie), Outcome(
-                    action.id, attempt, action.server, Status.OK, lag + 3_000_000, over=True, load=load)))
+                heapq.heappush(
+                    queue,
+                    (
+                        now + lag + 3_000_000,
+                        next(tie),
+                        Outcome(action.id, attempt, action.server, Status.OK, lag + 3_000_000, over=True, load=load),
+                    ),
+                )
     click.echo(f"{servers} servers, {requests} requests at {per_s:g} a second; actions {dict(ends)}")
     click.echo(f"{'event':12} {'count':>7} {'median us':>10} {'p99 us':>8} {'most us':>8}")
     took["all"] = [one for times in took.values() for one in times]
     for name, times in took.items():
         times.sort()
-        click.echo(f"{name:12} {len(times):7} {times[len(times) // 2] * 1e6:10.0f} {times[len(times) * 99 // 100] * 1e6:8.0f} "
-                   f"{times[-1] * 1e6:8.0f}")
+        click.echo(
+            f"{name:12} {len(times):7} {times[len(times) // 2] * 1e6:10.0f} {times[len(times) * 99 // 100] * 1e6:8.0f} "
+            f"{times[-1] * 1e6:8.0f}"
+        )
 
 
 if __name__ == "__main__":
--- a/bench/fronts.py
+++ b/bench/fronts.py
@@ -44,8 +44,9 @@
 
 
 def first(tokens: int) -> Callable[[int], bytes]:
-    return lambda n: pb.GenerateRequest(request_class="question", session=f"s{n}", prompt=f"b{n} " + "x" * 200,
-                                        prompt_tokens=50, max_tokens=tokens).SerializeToString()
+    return lambda n: pb.GenerateRequest(
+        request_class="question", session=f"s{n}", prompt=f"b{n} " + "x" * 200, prompt_tokens=50, max_tokens=tokens
+    ).SerializeToString()
 
 
 def second(tokens: int) -> Callable[[int], bytes]:
@@ -65,10 +66,14 @@
     async def one(n: int) -> int:
         host, _, port = address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        body = json.dumps({"text_input": f"b{n} " + "x" * 200, "session": f"s{n}", "prompt_tokens": 50,
-                           "max_tokens": tokens}).encode()
-        writer.write(b"POST /v2/models/m/%b HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n"
-                     % (what.encode(), len(body)) + body)
+        body = json.dumps(
+            {"text_input": f"b{n} " + "x" * 200, "session": f"s{n}", "prompt_tokens": 50, "max_tokens": tokens}
+        ).encode()
+        writer.write(
+            b"POST /v2/models/m/%b HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: %d\r\n\r\n"
+            % (what.encode(), len(body))
+            + body
+        )
         answer = await reader.read(-1)
         writer.close()
         if b" 200 " not in answer[:20]:
@@ -97,16 +102,27 @@
             for kind, size in (("token", tokens), ("request", 1)):
                 many = streams if kind == "token" else streams * 10
                 forms |= {
-                    f"first front, a {kind}": (many * size, lambda m=many, s=size: by_grpc(
-                        at, m, s, "/tuliptrack.v1.Generation/Generate", first(s))),
-                    f"v2 stream, a {kind}": (many * size, lambda m=many, s=size: by_grpc(
-                        at, m, s, service + "ModelStreamInfer", second(s))),
-                    f"v2 unary, a {kind}": (many * size, lambda m=many, s=size: by_grpc(
-                        at, m, s, service + "ModelInfer", second(s))),
-                    f"REST events, a {kind}": (many * size, lambda m=many, s=size: by_rest(
-                        "127.0.0.1:17463", m, s, "generate_stream")),
-                    f"REST whole, a {kind}": (many * size, lambda m=many, s=size: by_rest(
-                        "127.0.0.1:17463", m, s, "generate"))}
+                    f"first front, a {kind}": (
+                        many * size,
+                        lambda m=many, s=size: by_grpc(at, m, s, "/tuliptrack.v1.Generation/Generate", first(s)),
+                    ),
+                    f"v2 stream, a {kind}": (
+                        many * size,
+                        lambda m=many, s=size: by_grpc(at, m, s, service + "ModelStreamInfer", second(s)),
+                    ),
+                    f"v2 unary, a {kind}": (
+                        many * size,
+                        lambda m=many, s=size: by_grpc(at, m, s, service + "ModelInfer", second(s)),
+                    ),
+                    f"REST events, a {kind}": (
+                        many * size,
+                        lambda m=many, s=size: by_rest("127.0.0.1:17463", m, s, "generate_stream"),
+                    ),
+                    f"REST whole, a {kind}": (
+                        many * size,
+                        lambda m=many, s=size: by_rest("127.0.0.1:17463", m, s, "generate"),
+                    ),
+                }
             rows: dict[str, list[float]] = {name: [] for name in forms}
             for number in range(rounds + 1):
                 for name, (units, act) in forms.items():
--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -38,16 +38,34 @@
         ledger, commits = Ledger(path, 1 << 34), []
         for start in range(0, parts, batch):
             for n in range(start, start + batch):
-                ledger.add(Part("0123456789ab", n, f"tenant{n % 1000}", f"work-{n}", n, 3000, 2000, 0, 120, SERVED,
-                                price=Price(2, 1, 10), request_class="question"))
+                ledger.add(
+                    Part(
+                        "0123456789ab",
+                        n,
+                        f"tenant{n % 1000}",
+                        f"work-{n}",
+                        n,
+                        3000,
+                        2000,
+                        0,
+                        120,
+                        SERVED,
+                        price=Price(2, 1, 10),
+                        request_class="question",
+                    )
+                )
             commits.append(timed(ledger.commit))
         commits.sort()
-        click.echo(f"{parts} parts by {batch}: {parts / sum(commits):,.0f} parts a second in commits of median "
-                   f"{statistics.median(commits) * 1e3:.1f} ms, p99 {commits[len(commits) * 99 // 100] * 1e3:.1f} ms; "
-                   f"{ledger.size() / parts:.0f} bytes a part")
+        click.echo(
+            f"{parts} parts by {batch}: {parts / sum(commits):,.0f} parts a second in commits of median "
+            f"{statistics.median(commits) * 1e3:.1f} ms, p99 {commits[len(commits) * 99 // 100] * 1e3:.1f} ms; "
+            f"{ledger.size() / parts:.0f} bytes a part"
+        )
         ledger.close()
-        click.echo(f"opened again in {timed(lambda: Ledger(path, 1 << 34).close()) * 1e3:.0f} ms, verified in "
-                   f"{timed(lambda: verify(path)):.1f} s, billed in {timed(lambda: fold(read_parts(path))):.1f} s")
+        click.echo(
+            f"opened again in {timed(lambda: Ledger(path, 1 << 34).close()) * 1e3:.0f} ms, verified in "
+            f"{timed(lambda: verify(path)):.1f} s, billed in {timed(lambda: fold(read_parts(path))):.1f} s"
+        )
     count = 1_000_000
     whens = [chance.randrange(60_000_000) for _ in range(count)]
     wheel: Wheel[int] = Wheel(0)
@@ -56,7 +74,7 @@
     def by_wheel() -> None:
         for key, when in enumerate(whens):
             wheel.set(key, when)
-        for key, when in enumerate(whens[:count // 2]):
+        for key, when in enumerate(whens[: count // 2]):
             wheel.set(key, when + 1_000_000)  # half are moved
         for now in range(0, 62_000_000, 10_000):
             for _ in wheel.advance(now):
@@ -66,7 +84,7 @@
         due = dict(enumerate(whens))
         for key, when in enumerate(whens):
             heapq.heappush(heap, (when, key))
-        for key, when in enumerate(whens[:count // 2]):
+        for key, when in enumerate(whens[: count // 2]):
             due[key] = when + 1_000_000
             heapq.heappush(heap, (when + 1_000_000, key))
         for now in range(0, 62_000_000, 10_000):
@@ -81,8 +99,10 @@
     took = timed(lambda: [sketch.add(name, 10) for name in names])
     took_plain = timed(lambda: [plain.update((name,)) for name in names])
     best = {h.name for h in sketch.top(20)}
-    click.echo(f"{count} amounts of {len(plain)} names: sketch of 2,048 {took:.2f} s, a table of all {took_plain:.2f} s; "
-               f"{len(best & {n for n, _ in plain.most_common(20)})} of the 20 heaviest found")
+    click.echo(
+        f"{count} amounts of {len(plain)} names: sketch of 2,048 {took:.2f} s, a table of all {took_plain:.2f} s; "
+        f"{len(best & {n for n, _ in plain.most_common(20)})} of the 20 heaviest found"
+    )
 
 
 if __name__ == "__main__":
--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -24,8 +24,14 @@
     async def generate(data: bytes, context: grpc.aio.ServicerContext):  # type: ignore[no-untyped-def, type-arg]
         asked = pb.GenerateRequest.FromString(data)
         work = engine_pb2.Work(
-            request_id=f"proxy-{next(numbers)}", request_class=asked.request_class, tenant=asked.tenant,
-            session=asked.session, prompt=asked.prompt, prompt_tokens=asked.prompt_tokens, max_tokens=asked.max_tokens)
+            request_id=f"proxy-{next(numbers)}",
+            request_class=asked.request_class,
+            tenant=asked.tenant,
+            session=asked.session,
+            prompt=asked.prompt,
+            prompt_tokens=asked.prompt_tokens,
+            max_tokens=asked.max_tokens,
+        )
         state = engine_pb2.ReadResponse.FromString(await read(engine_pb2.ReadRequest(work=work).SerializeToString()))
         write = engine_pb2.WriteRequest(work=work)
         write.state.state_id, write.state.address = state.state_id, reader
@@ -34,8 +40,7 @@
 
     server = grpc.aio.server()
     handler = grpc.unary_stream_rpc_method_handler(generate)
-    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler(
-        "tuliptrack.v1.Generation", {"Generate": handler}),))
+    server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler("tuliptrack.v1.Generation", {"Generate": handler}),))
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
     print(json.dumps({"address": f"127.0.0.1:{port}"}), flush=True)
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -54,14 +54,20 @@
     engines = []
     for role, name in (("READ", "r"), ("WRITE", "w0"), ("WRITE", "w1")):
         model = Path(folder) / f"{name}.model"
-        model.write_text(f"role: {role} slots: 4000 queue: 4000 memory_tokens: 10000000 read_per_s: 1e8 "
-                         f"step_ms: {step_ms} per_answer_ms: 0 answer_least: {tokens} answer_most: {tokens}")
+        model.write_text(
+            f"role: {role} slots: 4000 queue: 4000 memory_tokens: 10000000 read_per_s: 1e8 "
+            f"step_ms: {step_ms} per_answer_ms: 0 answer_least: {tokens} answer_most: {tokens}"
+        )
         process, address = start("-m", "tuliptrack", "lab", "engine", "--model", str(model), "--name", name)
         processes.append(process)
         engines.append(address)
     listing = Path(folder) / "servers"
-    listing.write_text("version: 1 " + " ".join(
-        f'servers {{ id: {n + 1} address: "{a}" kind: "{"writer" if n else "reader"}" }}' for n, a in enumerate(engines)))
+    listing.write_text(
+        "version: 1 "
+        + " ".join(
+            f'servers {{ id: {n + 1} address: "{a}" kind: "{"writer" if n else "reader"}" }}' for n, a in enumerate(engines)
+        )
+    )
     return listing, engines
 
 
@@ -81,10 +87,12 @@
         if n % 20 == 19:
             await asyncio.sleep(0.02)  # A thousand prompts at once are an overload: the node would say so.
         over: asyncio.Future[End] = loop.create_future()
-        request = pb.GenerateRequest(request_class="question", session=f"s{n}", prompt=f"b{n} " + "x" * 200,
-                                     prompt_tokens=50, max_tokens=tokens)
-        channel.call("/tuliptrack.v1.Generation/Generate", message=request.SerializeToString(), on_message=got,
-                     on_end=over.set_result)
+        request = pb.GenerateRequest(
+            request_class="question", session=f"s{n}", prompt=f"b{n} " + "x" * 200, prompt_tokens=50, max_tokens=tokens
+        )
+        channel.call(
+            "/tuliptrack.v1.Generation/Generate", message=request.SerializeToString(), on_message=got, on_end=over.set_result
+        )
         overs.append(over)
     for over in overs:
         end = await over
@@ -122,8 +130,10 @@
                         if name == "node":
                             rows["speed"].append(got / took)
                 a, b = statistics.median(rows["node"]), statistics.median(rows["proxy"])
-                click.echo(f"{count:8} {a:8.1f} {b:9.1f} {a / b:6.2f} {statistics.median(rows['speed']):11.0f} "
-                           f"{memory_mb(node.pid):8.0f}")
+                click.echo(
+                    f"{count:8} {a:8.1f} {b:9.1f} {a / b:6.2f} {statistics.median(rows['speed']):11.0f} "
+                    f"{memory_mb(node.pid):8.0f}"
+                )
         finally:
             for process in processes:
                 process.terminate()
--- a/bench/structures.py
+++ b/bench/structures.py
@@ -136,9 +136,7 @@
         if name in ("numpy", "sortedcontainers") and not library(name):
             continue
         command = [sys.executable, "-c", line]
-        rows[name] = (
-            min(timeit.repeat(lambda command=command: subprocess.run(command), number=1, repeat=5)) * 1e3
-        )
+        rows[name] = min(timeit.repeat(lambda command=command: subprocess.run(command), number=1, repeat=5)) * 1e3
     return rows
 
 
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -43,8 +43,10 @@
 traffic that comes to a tenth of its nodes."""
 READ_US, SLOTS, STEP_US = 30.0, 40, 15_000  # a token read; a writer's slots; a token written
 PROMPT_B, STATE_B, ANSWER_B = 6.0, 16.0, 24.0
-CLASSES = (RequestClass("question", 1.0, 1_200_000, 5_000_000, token_aim=60_000.0),
-           RequestClass("summary", 2.0, 2_500_000, 12_000_000, token_aim=80_000.0))
+CLASSES = (
+    RequestClass("question", 1.0, 1_200_000, 5_000_000, token_aim=60_000.0),
+    RequestClass("summary", 2.0, 2_500_000, 12_000_000, token_aim=80_000.0),
+)
 
 
 class Engine:
@@ -61,8 +63,11 @@
     """One day; `budget` in bytes a second for all nodes (None: zones ignored; -1: other zones unknown)."""
     chance = random.Random(seed)
     _, rate, shares, dark, skew = day
-    budgets = () if budget is None or budget < 0 else (
-        ZoneBudget(budget, max(budget * 5, 80_000.0), 80_000.0, by_traffic=by_traffic),)
+    budgets = (
+        ()
+        if budget is None or budget < 0
+        else (ZoneBudget(budget, max(budget * 5, 80_000.0), 80_000.0, by_traffic=by_traffic),)
+    )
     servers = [Server(n + 1, n % 2, cell=n % ZONES, zone=n % ZONES) for n in range(ENGINES)]
     engines = {s.id: Engine() for s in servers}
     zone_of = {s.id: s.zone for s in servers}
@@ -70,10 +75,26 @@
     for slot in range(NODES):
         zone = slot % ZONES
         known = [s for s in servers if budget != -1 or s.zone == zone]
-        routers.append(Router(Settings(
-            replicas=NODES, slot=slot, zone=zone, classes=CLASSES, roles=(Role.READ, Role.WRITE), max_attempts=5,
-            tenants=(Tenant("a", 1.0, rate * 1.5),), may_cancel=True, report_fields=("in_flight", "memory_share"),
-            zone_budgets=budgets, prompt_bytes=PROMPT_B, state_bytes=STATE_B, answer_bytes=ANSWER_B), slot))
+        routers.append(
+            Router(
+                Settings(
+                    replicas=NODES,
+                    slot=slot,
+                    zone=zone,
+                    classes=CLASSES,
+                    roles=(Role.READ, Role.WRITE),
+                    max_attempts=5,
+                    tenants=(Tenant("a", 1.0, rate * 1.5),),
+                    may_cancel=True,
+                    report_fields=("in_flight", "memory_share"),
+                    zone_budgets=budgets,
+                    prompt_bytes=PROMPT_B,
+                    state_bytes=STATE_B,
+                    answer_bytes=ANSWER_B,
+                ),
+                slot,
+            )
+        )
         routers[-1].handle(1_000_000, [FleetChange(ListKind.FULL, 1, tuple(known))])
         node_zone.append(zone)
     tie = itertools.count()
@@ -86,15 +107,24 @@
         node = chance.randrange(few if chance.random() < skew else NODES // ZONES) * ZONES + zone
         cls = int(chance.random() < 0.2)
         prompt, shared = (3000.0, 0.0) if cls else (2800.0, 2400.0)
-        ask = Request(next(tie) + 1, cls, CLASSES[cls].deadline, prompt * (0.7 + 0.6 * chance.random()), shared, 200.0,
-                      chance.getrandbits(40), 0 if cls else chance.randrange(40) + 1)
+        ask = Request(
+            next(tie) + 1,
+            cls,
+            CLASSES[cls].deadline,
+            prompt * (0.7 + 0.6 * chance.random()),
+            shared,
+            200.0,
+            chance.getrandbits(40),
+            0 if cls else chance.randrange(40) + 1,
+        )
         heapq.heappush(queue, (int(at), next(tie), node, ask))
     if dark:
         for begin, state in ((dark[0], ServerState.GONE), (dark[1], ServerState.READY)):
             moment = start + int(begin * 1e6)
             heapq.heappush(queue, (moment, next(tie), -1, state))
-            change = FleetChange(ListKind.DELTA, 2, tuple(
-                Server(s.id, s.kind, state, cell=s.cell, zone=s.zone) for s in servers if s.zone == 0))
+            change = FleetChange(
+                ListKind.DELTA, 2, tuple(Server(s.id, s.kind, state, cell=s.cell, zone=s.zone) for s in servers if s.zone == 0)
+            )
             for node in range(NODES):
                 heapq.heappush(queue, (moment + 1_000_000, next(tie), node, change))
     asks: dict[int, tuple[Request, int]] = {}
@@ -127,8 +157,10 @@
             attempt, tries[action.id] = tries[action.id], tries[action.id] + 1
             engine, zone, home = engines[action.server], zone_of[action.server], node_zone[node]
             if engine.dark:
-                heapq.heappush(queue, (now + 2_000, next(tie), node, Outcome(
-                    ask.id, attempt, action.server, Status.CONNECT_FAILED, 2_000)))
+                heapq.heappush(
+                    queue,
+                    (now + 2_000, next(tie), node, Outcome(ask.id, attempt, action.server, Status.CONNECT_FAILED, 2_000)),
+                )
                 continue
             answer = int(20 + chance.expovariate(1 / 60))
             size = PROMPT_B * ask.prompt_tokens * (zone != home)
@@ -137,9 +169,23 @@
                 engine.reader_free = begin + int(READ_US * max(ask.prompt_tokens - ask.prefix_tokens, 1.0))
                 done = engine.reader_free
                 held[ask.id] = zone
-                heapq.heappush(queue, (done, next(tie), node, Outcome(
-                    ask.id, attempt, action.server, Status.READ, done - now, crossed=size,
-                    load=(float(max(engine.reader_free - now, 0) // 15_000), 0.3))))
+                heapq.heappush(
+                    queue,
+                    (
+                        done,
+                        next(tie),
+                        node,
+                        Outcome(
+                            ask.id,
+                            attempt,
+                            action.server,
+                            Status.READ,
+                            done - now,
+                            crossed=size,
+                            load=(float(max(engine.reader_free - now, 0) // 15_000), 0.3),
+                        ),
+                    ),
+                )
             else:
                 size += ANSWER_B * answer * (zone != home) + STATE_B * ask.prompt_tokens * (held[ask.id] != zone)
                 slot = min(range(SLOTS), key=engine.free.__getitem__)
@@ -147,9 +193,24 @@
                 engine.free[slot] = first + answer * STEP_US
                 busy = sum(f > now for f in engine.free)
                 heapq.heappush(queue, (first, next(tie), node, Started(ask.id, attempt, action.server, first - now)))
-                heapq.heappush(queue, (engine.free[slot], next(tie), node, Outcome(
-                    ask.id, attempt, action.server, Status.OK, engine.free[slot] - now, True, crossed=size,
-                    load=(float(busy), busy / SLOTS * 0.5))))
+                heapq.heappush(
+                    queue,
+                    (
+                        engine.free[slot],
+                        next(tie),
+                        node,
+                        Outcome(
+                            ask.id,
+                            attempt,
+                            action.server,
+                            Status.OK,
+                            engine.free[slot] - now,
+                            True,
+                            crossed=size,
+                            load=(float(busy), busy / SLOTS * 0.5),
+                        ),
+                    ),
+                )
             if size:
                 crossed[action.crossing] += size
                 if action.crossing in (Cause.BUDGET, Cause.RETRY):
@@ -164,9 +225,14 @@
         most = max(most, total)
     if budgets:
         worst = most / (budgets[0].bytes_per_s + budgets[0].burst + budgets[0].quantum)
-    return {"name": name, "in time": worth["in time"] / worth["asked"], "crossed": sum(crossed.values()) / seconds,
-            "forced": crossed[Cause.FORCED] / seconds, "worst": worst,
-            "zones": [done / max(asked, 1e-9) for _, (asked, done) in sorted(by_zone.items())]}
+    return {
+        "name": name,
+        "in time": worth["in time"] / worth["asked"],
+        "crossed": sum(crossed.values()) / seconds,
+        "forced": crossed[Cause.FORCED] / seconds,
+        "worst": worst,
+        "zones": [done / max(asked, 1e-9) for _, (asked, done) in sorted(by_zone.items())],
+    }
 
 
 @click.command()
@@ -176,9 +242,11 @@
     click.echo(f"{NODES} nodes, {ENGINES} engines in {ZONES} zones, {seconds:g} s a day")
     shades = []
     days: list[Day] = [
-        ("calm", 420.0, (0.42, 0.33, 0.25), None, 0.0), ("zone 0 overfull", 600.0, (0.72, 0.16, 0.12), None, 0.0),
+        ("calm", 420.0, (0.42, 0.33, 0.25), None, 0.0),
+        ("zone 0 overfull", 600.0, (0.72, 0.16, 0.12), None, 0.0),
         (f"zone 0 dark from 10 to {seconds * 0.75:g} s", 420.0, (0.42, 0.33, 0.25), (10.0, seconds * 0.75), 0.0),
-        ("zone 0 overfull, uneven nodes", 600.0, (0.72, 0.16, 0.12), None, 0.8)]
+        ("zone 0 overfull, uneven nodes", 600.0, (0.72, 0.16, 0.12), None, 0.8),
+    ]
     for day in days:
         title = f"{day[0]}: {day[1]:g} requests a second, shares {day[2]}"
         with ProcessPoolExecutor(7) as pool:
@@ -186,13 +254,18 @@
             parts = (1.0, 0.3, 0.1, 0.03, 0.0)
             jobs = [("never cross", -1.0, 0.0)] + [(f"{p:.0%} of free", p * free["crossed"], 0.0) for p in parts]
             jobs += [(f"{p:.0%} by traffic", p * free["crossed"], 1.0) for p in parts[:3] if day[4]]
-            found = [free] + [row.result() for row in [
-                pool.submit(run, name, budget, seconds, day, by_traffic) for name, budget, by_traffic in jobs]]
-        click.echo(f"\n{title}\n{'':15} {'in time':>8} {'KB/s crossed':>13} {'of it forced':>13} "
-                   f"{'worst s of bound':>17}  by zone")
+            found = [free] + [
+                row.result()
+                for row in [pool.submit(run, name, budget, seconds, day, by_traffic) for name, budget, by_traffic in jobs]
+            ]
+        click.echo(
+            f"\n{title}\n{'':15} {'in time':>8} {'KB/s crossed':>13} {'of it forced':>13} {'worst s of bound':>17}  by zone"
+        )
         for row in found:
-            click.echo(f"{row['name']:15} {row['in time']:8.1%} {row['crossed'] / 1000:13.0f} {row['forced'] / 1000:13.0f} "
-                       f"{row['worst']:17.0%}  " + " ".join(f"{z:.1%}" for z in row["zones"]))
+            click.echo(
+                f"{row['name']:15} {row['in time']:8.1%} {row['crossed'] / 1000:13.0f} {row['forced'] / 1000:13.0f} "
+                f"{row['worst']:17.0%}  " + " ".join(f"{z:.1%}" for z in row["zones"])
+            )
         shades.append((day[0], found))
     if plot and shades:
         import matplotlib
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -39,13 +39,17 @@
 
 def test_a_user_starts_engines_and_a_node_and_asks(tmp_path: Path) -> None:
     logs = tmp_path / "log"
-    with (process("lab", "engine", "--role", "READ", stderr=tmp_path / "r") as (_, reader),
-          process("lab", "engine", "--role", "WRITE", "--log", str(tmp_path / "seen"), stderr=tmp_path / "w") as (_, writer)):
-        (tmp_path / "servers").write_text(f'version: 1 servers {{ id: 1 address: "{reader}" kind: "r" }} '
-                                          f'servers {{ id: 2 address: "{writer}" kind: "w" }}')
+    with (
+        process("lab", "engine", "--role", "READ", stderr=tmp_path / "r") as (_, reader),
+        process("lab", "engine", "--role", "WRITE", "--log", str(tmp_path / "seen"), stderr=tmp_path / "w") as (_, writer),
+    ):
+        (tmp_path / "servers").write_text(
+            f'version: 1 servers {{ id: 1 address: "{reader}" kind: "r" }} servers {{ id: 2 address: "{writer}" kind: "w" }}'
+        )
         (tmp_path / "node").write_text(
             'node { listen: "127.0.0.1:0" } request_class { name: "a" aim_ms: 2000 deadline_ms: 8000 } '
-            f'kind {{ name: "r" role: READ }} kind {{ name: "w" role: WRITE }} servers {{ file: "{tmp_path / "servers"}" }}')
+            f'kind {{ name: "r" role: READ }} kind {{ name: "w" role: WRITE }} servers {{ file: "{tmp_path / "servers"}" }}'
+        )
         with process("serve", str(tmp_path / "node"), "--ready", stderr=logs) as (_, address):
             asked = CliRunner().invoke(main, ["call", address, SECRET, "--class", "a"])
             assert asked.exit_code == 0, asked.output
@@ -73,6 +77,7 @@
         address = f"127.0.0.1:{holder.getsockname()[1]}"
         taken = tmp_path / "taken"
         taken.write_text(good.read_text().replace("127.0.0.1:7400", address).replace("/tmp/", f"{tmp_path}/"))
-        done = subprocess.run([sys.executable, "-m", "tuliptrack", "serve", str(taken)], capture_output=True, text=True,
-                              timeout=60)
+        done = subprocess.run(
+            [sys.executable, "-m", "tuliptrack", "serve", str(taken)], capture_output=True, text=True, timeout=60
+        )
     assert done.returncode == 1 and address in done.stderr and "Traceback" not in done.stderr
--- a/tests/config/test_node_config.py
+++ b/tests/config/test_node_config.py
@@ -50,18 +50,36 @@
 servers { feed: "localhost" }
 """
     found = set(problems(text))
-    for expected in [(1, "node.slot"), (2, "node.listen"), (3, "request_class[0].worht"), (3, "request_class[0].aim_ms"),
-                     (4, "request_class[1].name"), (5, "request_class[1].deadline_ms"), (7, "tenant[0].name"),
-                     (8, "tenant[1].quota_per_s"), (8, "tenant[1].share"), (9, "routing.cold_from"),
-                     (10, "routing.max_attempts"), (11, "servers.feed")]:
+    for expected in [
+        (1, "node.slot"),
+        (2, "node.listen"),
+        (3, "request_class[0].worht"),
+        (3, "request_class[0].aim_ms"),
+        (4, "request_class[1].name"),
+        (5, "request_class[1].deadline_ms"),
+        (7, "tenant[0].name"),
+        (8, "tenant[1].quota_per_s"),
+        (8, "tenant[1].share"),
+        (9, "routing.cold_from"),
+        (10, "routing.max_attempts"),
+        (11, "servers.feed"),
+    ]:
         assert expected in found, (expected, sorted(found))
 
 
-@pytest.mark.parametrize(("text", "line", "word"), [
-    ("", 1, "at least one"), (GOOD + "node {", 5, "ends inside"), (GOOD + "node { slot 1 }", 5, "Expected"),
-    (GOOD + "\n\nnode: 3", 7, "braces"), (GOOD + 'node { listen: 3 }', 5, "listen"),
-    (GOOD + "node { zone: 99999999999 }", 5, "zone"), (GOOD + "}", 5, ""), (GOOD + "\0", 5, ""),
-])
+@pytest.mark.parametrize(
+    ("text", "line", "word"),
+    [
+        ("", 1, "at least one"),
+        (GOOD + "node {", 5, "ends inside"),
+        (GOOD + "node { slot 1 }", 5, "Expected"),
+        (GOOD + "\n\nnode: 3", 7, "braces"),
+        (GOOD + "node { listen: 3 }", 5, "listen"),
+        (GOOD + "node { zone: 99999999999 }", 5, "zone"),
+        (GOOD + "}", 5, ""),
+        (GOOD + "\0", 5, ""),
+    ],
+)
 def test_what_is_no_settings_text_is_told_with_its_line(text: str, line: int, word: str) -> None:
     with pytest.raises(ConfigError) as caught:
         parse(text)
@@ -70,28 +88,43 @@
 
 
 def test_zones_and_their_budgets_are_checked() -> None:
-    found = parse(GOOD + '''zones { name: "a" name: "b" budget { bytes_per_s: 1000 burst_bytes: 90000 request_class: "a" }
-      budget { bytes_per_s: 5 burst_bytes: 50000 quantum_bytes: 30000 } }''')
-    assert [(b.quantum, b.classes) for b in found.settings.zone_budgets] == [
-        (9000.0, frozenset({0})), (30000.0, frozenset())]
+    found = parse(
+        GOOD
+        + """zones { name: "a" name: "b" budget { bytes_per_s: 1000 burst_bytes: 90000 request_class: "a" }
+      budget { bytes_per_s: 5 burst_bytes: 50000 quantum_bytes: 30000 } }"""
+    )
+    assert [(b.quantum, b.classes) for b in found.settings.zone_budgets] == [(9000.0, frozenset({0})), (30000.0, frozenset())]
     assert found.zones.names == ("a", "b") and found.settings.state_bytes == 16
-    assert problems(GOOD + """node { zone: 2 }
+    assert problems(
+        GOOD
+        + """node { zone: 2 }
 zones { name: "a" name: "a"
   budget { bytes_per_s: 1 burst_bytes: 21999 }
   budget { bytes_per_s: 1 burst_bytes: 99999 request_class: "huh" }
-  budget { burst_bytes: 99999 quantum_bytes: 100000 by_traffic: 1.5 } }""") == [
-        (5, "node.zone"), (6, "zones.name"), (7, "zones.budget[0].request_class"), (7, "zones.budget[0].burst_bytes"),
-        (8, "zones.budget[1].request_class"), (9, "zones.budget[2].bytes_per_s"), (9, "zones.budget[2].by_traffic"),
-        (9, "zones.budget[2].quantum_bytes")]
+  budget { burst_bytes: 99999 quantum_bytes: 100000 by_traffic: 1.5 } }"""
+    ) == [
+        (5, "node.zone"),
+        (6, "zones.name"),
+        (7, "zones.budget[0].request_class"),
+        (7, "zones.budget[0].burst_bytes"),
+        (8, "zones.budget[1].request_class"),
+        (9, "zones.budget[2].bytes_per_s"),
+        (9, "zones.budget[2].by_traffic"),
+        (9, "zones.budget[2].quantum_bytes"),
+    ]
     assert problems(GOOD + "zones { budget { bytes_per_s: 1 burst_bytes: 99999 by_traffic: 0.5 } }") == [
-        (5, "zones.budget[0].by_traffic")]  # no tenant has a quota by which traffic could be measured
+        (5, "zones.budget[0].by_traffic")
+    ]  # no tenant has a quota by which traffic could be measured
     assert problems(GOOD + "zones { state_bytes_per_token: -1 }") == [(5, "zones.state_bytes_per_token")]
 
 
 def test_lists_nested_blocks_comments_and_joined_strings_are_read() -> None:
-    message, located = read_text("""# a list
+    message, located = read_text(
+        """# a list
 version: 3 servers: [ { id: 1, address: "a" ':1' }, < id: 2; address: "b:2" > ]  # two
-servers { id: 3 state: DRAINING started_unix_us: -0 weight: 1.5e0 }""", fleet_pb2.ServerList)
+servers { id: 3 state: DRAINING started_unix_us: -0 weight: 1.5e0 }""",
+        fleet_pb2.ServerList,
+    )
     assert not located.problems
     assert [(e.id, e.address) for e in message.servers] == [(1, "a:1"), (2, "b:2"), (3, "")]
     assert located.line("servers[2].state") == 3 and message.servers[2].weight == 1.5
@@ -107,8 +140,15 @@
             told = re.search(r"Default:? ([\w.:]+?)[.:]?(?:\s|$)", comment.group(1) + "\n")
             assert told, f"{name}.{field} tells no default"
             kind = config_pb2.DESCRIPTOR.message_types_by_name[name].fields_by_name[field]
-            shown = (kind.enum_type.values_by_number[default].name if kind.enum_type else
-                     str(default).lower() if isinstance(default, bool) else "not" if default == "" else str(default))
+            shown = (
+                kind.enum_type.values_by_number[default].name
+                if kind.enum_type
+                else str(default).lower()
+                if isinstance(default, bool)
+                else "not"
+                if default == ""
+                else str(default)
+            )
             assert told.group(1) == shown, f"{name}.{field}"
 
 
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -23,8 +23,15 @@
             continue
         reason = admission.enter(*step)
         tenants, connections = [t for t, _ in held], [c for _, c in held]
-        expected = ("node" if len(held) >= 8 else "tenant" if tenants.count(step[0]) >= 5 else
-                    "connection" if connections.count(step[1]) >= 3 else "")
+        expected = (
+            "node"
+            if len(held) >= 8
+            else "tenant"
+            if tenants.count(step[0]) >= 5
+            else "connection"
+            if connections.count(step[1]) >= 3
+            else ""
+        )
         assert expected in reason and bool(reason) == bool(expected)
         if not reason:
             held.append(step)
--- a/tests/decisions/test_bills.py
+++ b/tests/decisions/test_bills.py
@@ -18,12 +18,35 @@
     return Part(node, number, "a", "w", at, 100, 40, first, next_, outcome, price=PRICE, **more)  # type: ignore[arg-type]
 
 
-PARTS = st.lists(st.builds(
-    lambda node, number, work, at, first, size, outcome, price, lost: Part(
-        f"n{node}", number, "ab"[work % 2], f"w{work}", at, 100, 30, first, first + size, outcome, lost, lost,
-        Price(2, 1, price)),
-    st.integers(0, 2), st.integers(0, 5), st.integers(0, 3), st.integers(0, 50), st.integers(0, 30), st.integers(0, 30),
-    st.sampled_from([OPEN, SERVED, CUT, NOTHING]), st.integers(1, 5), st.integers(0, 9)), max_size=14)
+PARTS = st.lists(
+    st.builds(
+        lambda node, number, work, at, first, size, outcome, price, lost: Part(
+            f"n{node}",
+            number,
+            "ab"[work % 2],
+            f"w{work}",
+            at,
+            100,
+            30,
+            first,
+            first + size,
+            outcome,
+            lost,
+            lost,
+            Price(2, 1, price),
+        ),
+        st.integers(0, 2),
+        st.integers(0, 5),
+        st.integers(0, 3),
+        st.integers(0, 50),
+        st.integers(0, 30),
+        st.integers(0, 30),
+        st.sampled_from([OPEN, SERVED, CUT, NOTHING]),
+        st.integers(1, 5),
+        st.integers(0, 9),
+    ),
+    max_size=14,
+)
 
 
 @examples(max_examples=300, deadline=None, derandomize=True)
--- a/tests/decisions/test_budgets.py
+++ b/tests/decisions/test_budgets.py
@@ -20,22 +20,25 @@
     return Budgets(BudgetSettings(**made), now)  # type: ignore[arg-type]
 
 
-def let_in(one: Budgets, now: int, request: int, tenant: str = "a", prompt: int = 100, most: int = 200,
-           cls: int = 0) -> Verdict:
+def let_in(
+    one: Budgets, now: int, request: int, tenant: str = "a", prompt: int = 100, most: int = 200, cls: int = 0
+) -> Verdict:
     verdict = one.ask(now, tenant, cls, prompt, 0, most)
     if not verdict.over:
         one.take(now, request, tenant, cls, prompt, verdict)
     return verdict
 
 
-MOVES = st.lists(st.tuples(st.integers(0, 300_000), st.integers(0, 9), st.integers(1, 900), st.integers(0, 100)),
-                 min_size=1, max_size=120)
+MOVES = st.lists(
+    st.tuples(st.integers(0, 300_000), st.integers(0, 9), st.integers(1, 900), st.integers(0, 100)), min_size=1, max_size=120
+)
 
 
 @examples(max_examples=150, deadline=None, derandomize=True)
 @given(st.integers(1, 10), st.integers(500, 5000), st.integers(1, 8), st.booleans(), MOVES)
 def test_all_nodes_together_stay_within_the_window_and_a_turn_and_reservations_always_settle(
-        replicas: int, units: int, turns: int, lend: bool, moves: list[tuple[int, int, int, int]]) -> None:
+    replicas: int, units: int, turns: int, lend: bool, moves: list[tuple[int, int, int, int]]
+) -> None:
     """Whatever is asked where; with lending, tenants together stay within what theirs add up to, moved by LEND_US."""
     window = Window(S, units, units // turns)
     nodes = [budgets({"a": (window,), "b": (window,)}, replicas=replicas, slot=slot, lend=lend) for slot in range(replicas)]
--- a/tests/decisions/test_models.py
+++ b/tests/decisions/test_models.py
@@ -19,8 +19,9 @@
 FLEET = {1: (READ, A), 2: (WRITE, A), 3: (READ, B), 4: (WRITE, B), 5: (READ, B2), 6: (WRITE, B2)}
 
 
-def change(labels: dict[int, tuple[int, Model]], kind: ListKind = ListKind.FULL,
-           state: ServerState = ServerState.READY) -> tuple[FleetChange, dict[int, Model]]:
+def change(
+    labels: dict[int, tuple[int, Model]], kind: ListKind = ListKind.FULL, state: ServerState = ServerState.READY
+) -> tuple[FleetChange, dict[int, Model]]:
     servers = tuple(server(i, k, state=state) for i, (k, _) in labels.items())
     return FleetChange(kind, 1, servers), {i: m for i, (_, m) in labels.items()}
 
@@ -84,15 +85,23 @@
     assert len(made.listed()) == MOST_MODELS and len(made.left_out) == 2
 
 
-STEP = st.tuples(st.sampled_from(list(ListKind)[:2]), st.lists(st.tuples(
-    st.integers(1, 6), st.sampled_from([READ, WRITE]), st.sampled_from([A, B, B2]), st.sampled_from(list(ServerState))),
-    max_size=6, unique_by=lambda e: e[0]))
+STEP = st.tuples(
+    st.sampled_from(list(ListKind)[:2]),
+    st.lists(
+        st.tuples(
+            st.integers(1, 6), st.sampled_from([READ, WRITE]), st.sampled_from([A, B, B2]), st.sampled_from(list(ServerState))
+        ),
+        max_size=6,
+        unique_by=lambda e: e[0],
+    ),
+)
 
 
 @examples(max_examples=150, deadline=None, derandomize=True)
 @given(st.lists(STEP, max_size=8))
 def test_over_any_changes_each_engine_is_ready_at_the_router_of_its_label_and_at_no_other(
-        steps: list[tuple[ListKind, list[tuple[int, int, Model, ServerState]]]]) -> None:
+    steps: list[tuple[ListKind, list[tuple[int, int, Model, ServerState]]]],
+) -> None:
     made, seen = Catalog(ROLES), dict[Model, dict[int, ServerState]]()
     wanted: dict[int, tuple[Model, ServerState]] = {}
     for kind, entries in steps:
--- a/tests/decisions/test_register.py
+++ b/tests/decisions/test_register.py
@@ -105,20 +105,25 @@
 def test_each_guard_matters(broken: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """Without any one of them the same worlds lose something that was settled."""
     if broken == "promise":
+
         def promise(self: Acceptor, epoch: int) -> bool:
             self.promised = epoch
             return True
+
         monkeypatch.setattr(Acceptor, "promise", promise)
     elif broken == "accept":
+
         def accept(self: Acceptor, mark: Mark, value: bytes) -> bool:
             self.mark, self.value = mark, value
             return True
+
         monkeypatch.setattr(Acceptor, "accept", accept)
     elif broken == "adopt":
         adopting = Proposer.promised
 
         def promised(self: Proposer, agent: str, epoch: int, mark: Mark, value: bytes) -> bool:
             return adopting(self, agent, epoch, (0, 0), b"")
+
         monkeypatch.setattr(Proposer, "promised", promised)
     else:
         monkeypatch.setattr(Proposer, "majority", property(lambda self: len(self.agents) // 2))
--- a/tests/decisions/test_rollout.py
+++ b/tests/decisions/test_rollout.py
@@ -15,8 +15,15 @@
 S = 1_000_000
 OLD, NEW = Release("p-old", "s-old"), Release("p-new", "s-old")
 HOSTS = {f"n{i}": f"z{i % 3}" for i in range(9)}
-PLAN = Plan(OLD, NEW, HOSTS, (Stage(("n0", "n1", "n2"), 400), Stage(("n3", "n4", "n5", "n6", "n7", "n8"), 400)),
-            most_out=2, most_out_zone=1, margin=0.05)
+PLAN = Plan(
+    OLD,
+    NEW,
+    HOSTS,
+    (Stage(("n0", "n1", "n2"), 400), Stage(("n3", "n4", "n5", "n6", "n7", "n8"), 400)),
+    most_out=2,
+    most_out_zone=1,
+    margin=0.05,
+)
 Rates = Callable[[str, bool, int], dict[str, float]]
 """Share gone badly by measure, for a host, whether it runs the new release, and the window."""
 
@@ -52,8 +59,17 @@
             bad = {m: sum(self.random.random() < min(p * self.kin[host], 1) for _ in range(n)) for m, p in rates.items()}
             died = self.died.pop(host, 0)
             if host not in self.silent:
-                told.append(Report(host, zone, self.runs[host], up, (self.windows - self.ready_at[host]) * 5 * S,
-                                   {"chat": {m: (n, b) for m, b in bad.items()}} if up else {}, died))
+                told.append(
+                    Report(
+                        host,
+                        zone,
+                        self.runs[host],
+                        up,
+                        (self.windows - self.ready_at[host]) * 5 * S,
+                        {"chat": {m: (n, b) for m, b in bad.items()}} if up else {},
+                        died,
+                    )
+                )
         return told
 
 
@@ -65,8 +81,9 @@
     return lambda host, new, window: {m: p + (more.get(m, 0.0) if new else 0.0) for m, p in usual(host, new, 0).items()}
 
 
-def play(hosts: Hosts, plan: Plan = PLAN, windows: int = 400,
-         each: Callable[[int, Rollout, Hosts], Record | None] = lambda *_: None) -> Rollout:
+def play(
+    hosts: Hosts, plan: Plan = PLAN, windows: int = 400, each: Callable[[int, Rollout, Hosts], Record | None] = lambda *_: None
+) -> Rollout:
     """Learn for a while, begin the plan, and go on until it has ended."""
     rollout, now = Rollout(), 0
     for _ in range(60):
@@ -211,10 +228,17 @@
     with pytest.raises(PlanError, match="under way"):
         rollout.begin(PLAN)
     bad: list[tuple[dict[str, object], str]] = [
-        ({"new": OLD}, "new:"), ({"stages": ()}, "stages:"), ({"stages": (Stage(()),)}, r"stages\[0\].hosts"),
-        ({"stages": (Stage(("n99",)),)}, "n99"), ({"stages": (Stage(("n1",)), Stage(("n1",)))}, "twice"),
-        ({"most_out": 9}, "most_out:"), ({"most_out_zone": 0}, "most_out_zone:"), ({"margin": 1.0}, "margin:"),
-        ({"stages": (Stage(("n1",), 0),)}, "least_requests"), ({"stages": (Stage(("n1",), 1, 5, 5),)}, "longest")]
+        ({"new": OLD}, "new:"),
+        ({"stages": ()}, "stages:"),
+        ({"stages": (Stage(()),)}, r"stages\[0\].hosts"),
+        ({"stages": (Stage(("n99",)),)}, "n99"),
+        ({"stages": (Stage(("n1",)), Stage(("n1",)))}, "twice"),
+        ({"most_out": 9}, "most_out:"),
+        ({"most_out_zone": 0}, "most_out_zone:"),
+        ({"margin": 1.0}, "margin:"),
+        ({"stages": (Stage(("n1",), 0),)}, "least_requests"),
+        ({"stages": (Stage(("n1",), 1, 5, 5),)}, "longest"),
+    ]
     for changes, field in bad:
         with pytest.raises(PlanError, match=field):
             Rollout().begin(replace(PLAN, **changes))  # type: ignore[arg-type]
--- a/tests/decisions/test_zones.py
+++ b/tests/decisions/test_zones.py
@@ -38,8 +38,11 @@
     ZoneBudget,
 )
 
-MOVES = st.lists(st.tuples(st.integers(0, 400_000), st.integers(0, 11), st.integers(1, 30_000), st.integers(0, 100)),
-                 min_size=1, max_size=150)
+MOVES = st.lists(
+    st.tuples(st.integers(0, 400_000), st.integers(0, 11), st.integers(1, 30_000), st.integers(0, 100)),
+    min_size=1,
+    max_size=150,
+)
 
 
 def crossings(replicas: int, slot: int, budget: ZoneBudget, offset: int = 0) -> Crossings:
@@ -47,11 +50,24 @@
 
 
 @examples(max_examples=150, deadline=None, derandomize=True)
-@given(st.integers(1, 12), st.integers(1, 60), st.integers(10_000, 60_000), st.integers(1, 6), MOVES,
-       st.lists(st.integers(0, 40_000_000), max_size=12), st.integers(0, 3_000_000))
+@given(
+    st.integers(1, 12),
+    st.integers(1, 60),
+    st.integers(10_000, 60_000),
+    st.integers(1, 6),
+    MOVES,
+    st.lists(st.integers(0, 40_000_000), max_size=12),
+    st.integers(0, 3_000_000),
+)
 def test_all_nodes_together_stay_within_rate_burst_and_a_turn_in_every_window(
-        replicas: int, rate_kb: int, quantum: int, turns: int, moves: list[tuple[int, int, int, int]],
-        births: list[int], epoch: int) -> None:
+    replicas: int,
+    rate_kb: int,
+    quantum: int,
+    turns: int,
+    moves: list[tuple[int, int, int, int]],
+    births: list[int],
+    epoch: int,
+) -> None:
     """Whatever is asked where and when, with nodes that start again in between, and clocks with offsets of their own."""
     budget = ZoneBudget(rate_kb * 1000.0, float(quantum * turns), float(quantum))
     offsets = [epoch + 1_000 * slot for slot in range(replicas)]  # each node's own clock starts elsewhere
@@ -78,16 +94,29 @@
 
 
 @examples(max_examples=100, deadline=None, derandomize=True)
-@given(st.integers(1, 12), st.integers(1, 60), st.integers(10_000, 60_000), st.integers(1, 6), st.floats(0.1, 1.0),
-       MOVES, st.integers(-10**15, 10**15))
+@given(
+    st.integers(1, 12),
+    st.integers(1, 60),
+    st.integers(10_000, 60_000),
+    st.integers(1, 6),
+    st.floats(0.1, 1.0),
+    MOVES,
+    st.integers(-(10**15), 10**15),
+)
 def test_what_traffic_earns_stays_within_its_part_and_a_quantum_a_node_also_with_clocks_that_are_years_off(
-        replicas: int, rate_kb: int, quantum: int, turns: int, part: float, moves: list[tuple[int, int, int, int]],
-        skew: int) -> None:
+    replicas: int, rate_kb: int, quantum: int, turns: int, part: float, moves: list[tuple[int, int, int, int]], skew: int
+) -> None:
     budget = ZoneBudget(rate_kb * 1000.0, float(quantum * turns), float(quantum), by_traffic=part)
     each = part * budget.bytes_per_s / 100
     offsets = [10**16 + skew * slot for slot in range(replicas)]
-    nodes = [Crossings(settings(replicas=replicas, slot=slot, zone_budgets=(budget,), epoch_offset=offset,
-                                tenants=(Tenant("a", 1.0, 100.0),))) for slot, offset in enumerate(offsets)]
+    nodes = [
+        Crossings(
+            settings(
+                replicas=replicas, slot=slot, zone_budgets=(budget,), epoch_offset=offset, tenants=(Tenant("a", 1.0, 100.0),)
+            )
+        )
+        for slot, offset in enumerate(offsets)
+    ]
     at, came, sent = 50_000_000, list[int](), list[tuple[int, float]]()
     for number, (gap, who, size, _) in enumerate(moves):
         at += gap
@@ -109,8 +138,10 @@
     used = {}
     for part in (0.0, 1.0):
         budget = ZoneBudget(1_000_000.0, 5_000_000.0, 50_000.0, by_traffic=part)
-        nodes = [Crossings(settings(replicas=20, slot=slot, zone_budgets=(budget,), tenants=(Tenant("a", 1.0, 100.0),)))
-                 for slot in range(20)]
+        nodes = [
+            Crossings(settings(replicas=20, slot=slot, zone_budgets=(budget,), tenants=(Tenant("a", 1.0, 100.0),)))
+            for slot in range(20)
+        ]
         chance = random.Random(3)
         used[part] = 0
         for number in range(3000):  # 100 a second for 30 s
@@ -177,8 +208,13 @@
 
 # ---------------------------------------------------------------- the router
 
-BUDGET: dict[str, Any] = {"zone_budgets": (ZoneBudget(1_000_000.0, 400_000.0, 50_000.0),), "prompt_bytes": 6.0,
-                          "state_bytes": 16.0, "answer_bytes": 24.0, "replicas": 1}
+BUDGET: dict[str, Any] = {
+    "zone_budgets": (ZoneBudget(1_000_000.0, 400_000.0, 50_000.0),),
+    "prompt_bytes": 6.0,
+    "state_bytes": 16.0,
+    "answer_bytes": 24.0,
+    "replicas": 1,
+}
 
 
 def play(w: World, seed: int, count: int = 400) -> list[Action]:
@@ -272,8 +308,12 @@
 
 def test_a_jam_at_home_tells_nothing_of_another_zone() -> None:
     """At many nodes a role's last answers stand for its state: those of home, for home."""
-    pool = [*(server(10 + n, READ) for n in range(2)), *(server(20 + n, READ, zone=1) for n in range(2)),
-            server(30, WRITE), server(31, WRITE, zone=1)]
+    pool = [
+        *(server(10 + n, READ) for n in range(2)),
+        *(server(20 + n, READ, zone=1) for n in range(2)),
+        server(30, WRITE),
+        server(31, WRITE, zone=1),
+    ]
     w = world(pool, **{**BUDGET, "replicas": 100, "report_fields": ("in_flight", "memory_share", "tokens_waiting_k")})
     servers = []
     for _ in range(30):
--- a/tests/deploy/test_sites.py
+++ b/tests/deploy/test_sites.py
@@ -65,7 +65,9 @@
 
 
 def test_what_an_override_names_changes_and_all_else_stays(given: Path) -> None:
-    site = made(given, """
+    site = made(
+        given,
+        """
 name = "other"
 [fam]
 release_ms = 200
@@ -79,7 +81,8 @@
 window_ms = 1500
 [[fam.class]]
 like = 1
-""")
+""",
+    )
     expected = tomllib.loads(SITE)
     expected["name"] = "other"
     expected["fam"] = {"release_ms": 200, "class": [{"turns": [3, 4]}]}
@@ -90,16 +93,19 @@
         assert (given.parents[1] / "out" / name).read_text() == name
 
 
-@pytest.mark.parametrize(("overrides", "named"), [
-    ("name = ", "variant.toml: not TOML"),
-    ("[[class]]\nlike = 2", "class[0].like: must be from 0 to 1, is 2"),
-    ("[[class]]\nlike = true", "class[0].like"),
-    ("class = 5", "class: a list of tables"),
-    ("[class]\nname = 'x'", "class: a list of tables"),
-    ("[[day]]\ntick_ms = 3", "day: a list of tables"),
-    ("day = 3", "day: a table"),
-    ("[day.tick_ms]\nx = 1", "day.tick_ms: a table"),
-])
+@pytest.mark.parametrize(
+    ("overrides", "named"),
+    [
+        ("name = ", "variant.toml: not TOML"),
+        ("[[class]]\nlike = 2", "class[0].like: must be from 0 to 1, is 2"),
+        ("[[class]]\nlike = true", "class[0].like"),
+        ("class = 5", "class: a list of tables"),
+        ("[class]\nname = 'x'", "class: a list of tables"),
+        ("[[day]]\ntick_ms = 3", "day: a list of tables"),
+        ("day = 3", "day: a table"),
+        ("[day.tick_ms]\nx = 1", "day.tick_ms: a table"),
+    ],
+)
 def test_an_override_that_cant_be_used_is_named_in_one_line(given: Path, overrides: str, named: str) -> None:
     path = given.parent / "variant.toml"
     path.write_text(overrides)
--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -58,8 +58,10 @@
         return await ask(self.channel, "Agent/Accept", request, pb.AgentAnswer, 2_000_000)
 
     async def order(self, epoch: int, number: int, release: Release) -> pb.HostReport:
-        request = pb.LookRequest(order=pb.Mark(epoch=epoch, number=number),
-                                 release=pb.ReleaseName(program=release.program, settings=release.settings))
+        request = pb.LookRequest(
+            order=pb.Mark(epoch=epoch, number=number),
+            release=pb.ReleaseName(program=release.program, settings=release.settings),
+        )
         return await ask(self.channel, "Agent/Look", request, pb.HostReport, 2_000_000)
 
     def kill_node(self) -> None:
@@ -121,8 +123,11 @@
         async with Asking(host(tmp_path)) as a:
             await until(lambda: a.agent.ready_at)
             pid = a.agent.pid
-            for release, text in ((Release("three", "conf"), "'three' is not at hand"),
-                                  (Release("two", "x"), "'x' are not at hand"), (Release("../one", "conf"), "no digest")):
+            for release, text in (
+                (Release("three", "conf"), "'three' is not at hand"),
+                (Release("two", "x"), "'x' are not at hand"),
+                (Release("../one", "conf"), "no digest"),
+            ):
                 assert text in (await a.order(1, 1, release)).trouble
             assert a.agent.pid == pid and a.agent.running == ONE
             a.kill_node()
@@ -131,7 +136,8 @@
 
 
 def test_a_node_that_dies_is_started_again_and_one_that_ignores_sigterm_is_killed(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("tuliptrack.fleet.agent._TERM_S", 0.5)
 
     async def go() -> None:
@@ -156,11 +162,23 @@
     path = tmp_path / "log"
     counts = LogCounts(path)
     counts.read()
-    path.write_text(line("served", 20.0) + line("served", 1500.0) + "Traceback\n" + line("refused", None)
-                    + line("failed", None) + line("failed", 30.0) + line("served", 5.0)[:-20])
+    path.write_text(
+        line("served", 20.0)
+        + line("served", 1500.0)
+        + "Traceback\n"
+        + line("refused", None)
+        + line("failed", None)
+        + line("failed", 30.0)
+        + line("served", 5.0)[:-20]
+    )
     counts.read()
-    assert dict(counts.counts) == {("chat", ""): 5, ("chat", "late"): 1, ("chat", "refused"): 1, ("chat", "failed"): 1,
-                                   ("chat", "broken"): 1}
+    assert dict(counts.counts) == {
+        ("chat", ""): 5,
+        ("chat", "late"): 1,
+        ("chat", "refused"): 1,
+        ("chat", "failed"): 1,
+        ("chat", "broken"): 1,
+    }
     with open(path, "a") as file:
         file.write(line("served", 5.0)[-20:])
         file.writelines(line("served", 5.0, f"c{n}") for n in range(100))
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -40,7 +40,8 @@
 from tuliptrack.cli.main import main
 main(['serve', '--ready', sys.argv[1]])
 """,
-    DEAD: "sys.exit(1)\n"}
+    DEAD: "sys.exit(1)\n",
+}
 
 
 class Process:
@@ -53,8 +54,9 @@
 
     async def start(self) -> Process:
         with open(self.log, "ab") as err:
-            self.child = await asyncio.create_subprocess_exec(sys.executable, "-m", "tuliptrack", *self.command,
-                                                              stdout=asyncio.subprocess.PIPE, stderr=err)
+            self.child = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "tuliptrack", *self.command, stdout=asyncio.subprocess.PIPE, stderr=err
+            )
         assert self.child.stdout
         line = await self.child.stdout.readline()
         assert line, self.log.read_text()
@@ -130,8 +132,10 @@
 
     async def look(self) -> dict[str, pb.HostReport]:
         """What agents say themselves, with no controller between."""
-        return {h: await ask(self._channel(a.address), "Agent/Look", pb.LookRequest(), pb.HostReport, 2_000_000)
-                for h, a in self.agents.items()}
+        return {
+            h: await ask(self._channel(a.address), "Agent/Look", pb.LookRequest(), pb.HostReport, 2_000_000)
+            for h, a in self.agents.items()
+        }
 
     async def clients(self) -> None:
         """Ask every node that is up, all the time; each call gets one end."""
@@ -151,14 +155,28 @@
             self.double += len(ends) > 1
             self.answers[end.status.code.name] += 1
 
-        self._channel(address).call("/tuliptrack.v1.Generation/Generate", timeout=5_000_000, on_end=ended, message=(
-            generation_pb2.GenerateRequest(request_class="question", tenant="north", prompt="q", prompt_tokens=50)
-            .SerializeToString()))
+        self._channel(address).call(
+            "/tuliptrack.v1.Generation/Generate",
+            timeout=5_000_000,
+            on_end=ended,
+            message=(
+                generation_pb2.GenerateRequest(
+                    request_class="question", tenant="north", prompt="q", prompt_tokens=50
+                ).SerializeToString()
+            ),
+        )
 
     def plan(self, program: str, **changes: Any) -> pb.BeginRequest:
-        plan = Plan(Release(GOOD, CONF), Release(program, CONF), dict.fromkeys(HOSTS, "z"),
-                    (Stage(("h0",), 60, 2_000_000, 60_000_000), Stage(("h1", "h2"), 60, 1_000_000, 60_000_000)), margin=0.2,
-                    least_learnt=2, allowance=300_000, ready_within=15_000_000)
+        plan = Plan(
+            Release(GOOD, CONF),
+            Release(program, CONF),
+            dict.fromkeys(HOSTS, "z"),
+            (Stage(("h0",), 60, 2_000_000, 60_000_000), Stage(("h1", "h2"), 60, 1_000_000, 60_000_000)),
+            margin=0.2,
+            least_learnt=2,
+            allowance=300_000,
+            ready_within=15_000_000,
+        )
         return pb.BeginRequest(plan=json.dumps(asdict(plan) | changes))
 
     def pids(self) -> set[int]:
@@ -192,17 +210,29 @@
                 (root / "programs" / program).mkdir(parents=True)
                 (root / "programs" / program / "run").write_text(f"#!{sys.executable}\nimport sys\n{text}")
                 (root / "programs" / program / "run").chmod(0o755)
-            made.agents[host] = await Process("agent", host, str(root), "--program", GOOD, "--settings", CONF,
-                                              log=folder / f"{host}.log").start()
+            made.agents[host] = await Process(
+                "agent", host, str(root), "--program", GOOD, "--settings", CONF, log=folder / f"{host}.log"
+            ).start()
         for host, one in made.agents.items():
             made.wires[host] = Wire(one.address)
             await made.wires[host].start()
-        (folder / "hosts").write_text(json.dumps(
-            [{"name": h, "zone": "z", "agent": wire.address} for h, wire in made.wires.items()]))
+        (folder / "hosts").write_text(
+            json.dumps([{"name": h, "zone": "z", "agent": wire.address} for h, wire in made.wires.items()])
+        )
         for number in range(3):
-            made.controllers.append(await Process(
-                "fleet", "serve", str(number), str(folder / "hosts"), "--window", "0.5", "--takeover", "0.6",
-                log=folder / f"controller-{number}.log").start())
+            made.controllers.append(
+                await Process(
+                    "fleet",
+                    "serve",
+                    str(number),
+                    str(folder / "hosts"),
+                    "--window",
+                    "0.5",
+                    "--takeover",
+                    "0.6",
+                    log=folder / f"controller-{number}.log",
+                ).start()
+            )
         for _ in range(300):
             if all(r.ready for r in (await made.look()).values()):
                 break
@@ -302,6 +332,7 @@
 
 def test_an_agent_that_is_cut_off_one_way_counts_as_out_and_obeys_once_it_is_back(tmp_path: Path) -> None:
     """Orders reach it, its answers don't come back. No other host is changed meanwhile."""
+
     async def go() -> None:
         async with fleet(tmp_path) as f:
             f.wires["h0"].set(Cut.BACK)
--- a/tests/fronts/test_kserve.py
+++ b/tests/fronts/test_kserve.py
@@ -190,14 +190,22 @@
     short.raw_input_contents.append(b"\5\0\0\0abc")
     out = request("q")
     out.outputs.add(name="logits")
-    cases = [(raw(shape=[2]), "inputs.text_input", "has 2 elements, but 1 came"),
-             (raw(shape=[-1]), "inputs.text_input.shape", ""), (raw(name="huh"), "inputs.huh", ""),
-             (raw(datatype="INT32"), "inputs.text_input.contents", "bytes_contents is set"),
-             (raw(datatype="HUH"), "inputs.text_input.datatype", "among"), (double, "inputs.text_input", "twice"),
-             (mixed, "inputs.text_input.contents", "beside"), (short, "inputs.text_input", "ends past"),
-             (out, "outputs.logits", ""), (request("q", timeout=-1), "parameters.timeout", "from 0"),
-             (request("q", session=3), "parameters.session", "string"), (request("q", request_class="x"), "request_class", ""),
-             (request("q", huh=True), "parameters.huh", ""), (request(""), "prompt", "required")]
+    cases = [
+        (raw(shape=[2]), "inputs.text_input", "has 2 elements, but 1 came"),
+        (raw(shape=[-1]), "inputs.text_input.shape", ""),
+        (raw(name="huh"), "inputs.huh", ""),
+        (raw(datatype="INT32"), "inputs.text_input.contents", "bytes_contents is set"),
+        (raw(datatype="HUH"), "inputs.text_input.datatype", "among"),
+        (double, "inputs.text_input", "twice"),
+        (mixed, "inputs.text_input.contents", "beside"),
+        (short, "inputs.text_input", "ends past"),
+        (out, "outputs.logits", ""),
+        (request("q", timeout=-1), "parameters.timeout", "from 0"),
+        (request("q", session=3), "parameters.session", "string"),
+        (request("q", request_class="x"), "request_class", ""),
+        (request("q", huh=True), "parameters.huh", ""),
+        (request(""), "prompt", "required"),
+    ]
 
     async def go() -> None:
         async with world(settings=KSERVE) as w:
@@ -223,15 +231,15 @@
     run(go, virtual=True)
 
 
-MODELS = {"r0": ("tulip", "1"), "w0": ("tulip", "1"), "r1": ("tulip", "2"), "w1": ("tulip", "2"),
-          "m0": ("rose", "1")}
+MODELS = {"r0": ("tulip", "1"), "w0": ("tulip", "1"), "r1": ("tulip", "2"), "w1": ("tulip", "2"), "m0": ("rose", "1")}
 
 
 async def infer(w: World, prompt: str, model: str, version: str = "", **parameters: Any) -> tuple[End, pb.ModelInferResponse]:
     made, got, ends = request(prompt, model=model, **parameters), list[bytes](), list[End]()
     made.model_version = version
-    w.channel.call(SERVICE + "ModelInfer", message=made.SerializeToString(), on_message=got.append, on_end=ends.append,
-                   timeout=10_000_000)
+    w.channel.call(
+        SERVICE + "ModelInfer", message=made.SerializeToString(), on_message=got.append, on_end=ends.append, timeout=10_000_000
+    )
     await until(lambda: ends)
     return ends[0], pb.ModelInferResponse.FromString(got[0] if got else b"")
 
@@ -361,8 +369,13 @@
                 assert (await one.answer())[0] == status
             one.send("GET", "/v2/health/ready")
             assert await one.answer() == (200, {"ready": True})
-            for body, field in ((b"{", "body"), (b'{"text_input": 3}', "text_input"), (b'{"text_input": "q", "x": []}', "x"),
-                                (b'{"text_input": "q", "parameters": 1}', "parameters"), (b"[" * 100_000, "body")):
+            for body, field in (
+                (b"{", "body"),
+                (b'{"text_input": 3}', "text_input"),
+                (b'{"text_input": "q", "x": []}', "x"),
+                (b'{"text_input": "q", "parameters": 1}', "parameters"),
+                (b"[" * 100_000, "body"),
+            ):
                 one.send("POST", "/v2/models/m/generate", body)
                 status, got = await one.answer()
                 assert status == 400 and got["field"].startswith(("parameters", "body", "text_input")), (body[:30], got, field)
@@ -446,8 +459,14 @@
 
             w.node.router.handle = watch  # type: ignore[method-assign]
             for n in range(12):
-                words: Any = {"session": f"s{n % 3}", "prefix": "p", "prompt_tokens": 400, "prefix_tokens": 300,
-                              "request_class": "summary", "tenant": "south"}
+                words: Any = {
+                    "session": f"s{n % 3}",
+                    "prefix": "p",
+                    "prompt_tokens": 400,
+                    "prefix_tokens": 300,
+                    "request_class": "summary",
+                    "tenant": "south",
+                }
                 if form == "first":
                     assert (await w.ask(f"q{n} what?", max_tokens=9, **words).wait()).status.code is Code.OK
                 elif form == "v2":
--- a/tests/fronts/test_kserve_peers.py
+++ b/tests/fronts/test_kserve_peers.py
@@ -28,8 +28,9 @@
     async def go() -> None:
         labels = {name: ("tulip", "1") for name in ("r0", "w0")}
         async with world("r0 w0", settings=KSERVE, models=labels) as w:
-            peer = await asyncio.create_subprocess_exec(str(PEERS), str(SCRIPT), w.address, w.rest,
-                                                        stdout=asyncio.subprocess.PIPE)
+            peer = await asyncio.create_subprocess_exec(
+                str(PEERS), str(SCRIPT), w.address, w.rest, stdout=asyncio.subprocess.PIPE
+            )
             out, _ = await peer.communicate()
             assert peer.returncode == 0
             found.update(json.loads(out.decode().splitlines()[-1]))
--- a/tests/fronts/test_tensors.py
+++ b/tests/fronts/test_tensors.py
@@ -43,8 +43,14 @@
     if datatype != "BYTES":
         again = from_json("t", datatype, shape, json.loads(json.dumps(list(one.values))))
         assert list(again.values) == list(one.values)
-    field = {"BOOL": "bool_contents", "INT64": "int64_contents", "UINT64": "uint64_contents", "FP32": "fp32_contents",
-             "FP64": "fp64_contents", "BYTES": "bytes_contents"}.get(datatype)
+    field = {
+        "BOOL": "bool_contents",
+        "INT64": "int64_contents",
+        "UINT64": "uint64_contents",
+        "FP32": "fp32_contents",
+        "FP64": "fp64_contents",
+        "BYTES": "bytes_contents",
+    }.get(datatype)
     if field:
         contents = pb.InferTensorContents(**{field: one.values})
         assert list(from_contents("t", datatype, shape, contents).values) == list(one.values)
@@ -61,18 +67,42 @@
         assert len(found.values) == math.prod(shape)
 
 
-JSON = st.recursive(st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
-                    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(
-                        ["name", "shape", "datatype", "data", "inputs", "outputs", "parameters", "id", "text_input",
-                         "binary_data_size", "binary_data"]), inner, max_size=5), max_leaves=20)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(
+                [
+                    "name",
+                    "shape",
+                    "datatype",
+                    "data",
+                    "inputs",
+                    "outputs",
+                    "parameters",
+                    "id",
+                    "text_input",
+                    "binary_data_size",
+                    "binary_data",
+                ]
+            ),
+            inner,
+            max_size=5,
+        )
+    ),
+    max_leaves=20,
+)
 
 
 @examples(max_examples=400, deadline=None, derandomize=True)
 @given(JSON, st.binary(max_size=20), st.one_of(st.none(), st.text(max_size=4), st.integers(0, 200).map(str)))
 def test_json_garbage_is_told(body: Any, tail: bytes, header: str | None) -> None:
     data = json.dumps(body).encode()
-    for act in (lambda: rest_infer("m", "", data + (tail if header is not None else b""), header),
-                lambda: generate_of("m", "", data)):
+    for act in (
+        lambda: rest_infer("m", "", data + (tail if header is not None else b""), header),
+        lambda: generate_of("m", "", data),
+    ):
         try:
             act()
         except AskError as error:
@@ -93,15 +123,24 @@
 
 
 def test_the_binary_extension_takes_tensors_apart_by_their_sizes() -> None:
-    head = {"inputs": [{"name": "max_tokens", "shape": [1], "datatype": "INT32", "parameters": {"binary_data_size": 4}},
-                       {"name": "text_input", "shape": [1], "datatype": "BYTES", "parameters": {"binary_data_size": 6}}],
-            "outputs": [{"name": "text_output", "parameters": {"binary_data": True}}], "id": 7}
+    head = {
+        "inputs": [
+            {"name": "max_tokens", "shape": [1], "datatype": "INT32", "parameters": {"binary_data_size": 4}},
+            {"name": "text_input", "shape": [1], "datatype": "BYTES", "parameters": {"binary_data_size": 6}},
+        ],
+        "outputs": [{"name": "text_output", "parameters": {"binary_data": True}}],
+        "id": 7,
+    }
     text = json.dumps(head).encode()
     body = text + b"\x05\0\0\0" + b"\2\0\0\0hi"
     infer, binary = rest_infer("m", "1", body, str(len(text)))
     assert binary and infer.id == "7" and [list(t.values) for t in infer.inputs] == [[5], [b"hi"]]
-    for wrong, header, field in ((body + b"x", str(len(text)), "body"), (body[:-1], str(len(text)), "inputs.text_input"),
-                                 (body, str(len(body) + 1), "Inference-Header"), (body, "-1", "Inference-Header")):
+    for wrong, header, field in (
+        (body + b"x", str(len(text)), "body"),
+        (body[:-1], str(len(text)), "inputs.text_input"),
+        (body, str(len(body) + 1), "Inference-Header"),
+        (body, "-1", "Inference-Header"),
+    ):
         with pytest.raises(AskError) as caught:
             rest_infer("m", "1", wrong, header)
         assert caught.value.field.startswith(field)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -37,15 +37,26 @@
 def settings(effect: Effect = Effect.SAFE, scope: KeyScope = KeyScope.ALL, **changes: object) -> Settings:
     base = Settings(
         replicas=2,
-        classes=(RequestClass("plain", 1.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S,
-                              token_aim=60_000.0),
-                 RequestClass("dear", 3.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S,
-                              token_aim=60_000.0)),
-        roles=(Role.READ, Role.WRITE, Role.BOTH), memory_tokens=(200_000.0, 200_000.0, 200_000.0),
-        tenants=(Tenant("a", 0.9, 1000.0), Tenant("b", 0.1, 2.0)), over_share_worth=0.1, max_attempts=5,
-        release_within=300 * MS, answer_slack=16 * MS, drain_grace=500 * MS, cold_for=10 * S, cold_from=0.25,
-        fall_multiple=2.5, fall_window=2 * S, may_cancel=True, may_advise_retry=True,
-        report_fields=("in_flight", "memory_share"))
+        classes=(
+            RequestClass("plain", 1.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S, token_aim=60_000.0),
+            RequestClass("dear", 3.0, 1 * S, 5 * S, effect=effect, key_scope=scope, dedup_window=3 * S, token_aim=60_000.0),
+        ),
+        roles=(Role.READ, Role.WRITE, Role.BOTH),
+        memory_tokens=(200_000.0, 200_000.0, 200_000.0),
+        tenants=(Tenant("a", 0.9, 1000.0), Tenant("b", 0.1, 2.0)),
+        over_share_worth=0.1,
+        max_attempts=5,
+        release_within=300 * MS,
+        answer_slack=16 * MS,
+        drain_grace=500 * MS,
+        cold_for=10 * S,
+        cold_from=0.25,
+        fall_multiple=2.5,
+        fall_window=2 * S,
+        may_cancel=True,
+        may_advise_retry=True,
+        report_fields=("in_flight", "memory_share"),
+    )
     return replace(base, **changes)  # type: ignore[arg-type]
 
 
@@ -79,13 +90,13 @@
 
     def ask(self, after: int = 0, **changes: object) -> tuple[int, list[Action]]:
         self.ids += 1
-        request = Request(self.ids, 0, 5 * S, prompt_tokens=1000.0, prefix_tokens=800.0, max_tokens=200.0,
-                          session=self.ids, prefix=77)
+        request = Request(
+            self.ids, 0, 5 * S, prompt_tokens=1000.0, prefix_tokens=800.0, max_tokens=200.0, session=self.ids, prefix=77
+        )
         request = replace(request, **changes)  # type: ignore[arg-type]
         return request.id, self.tell(request, after=after)
 
-    def end(self, request: int, at: int, status: Status, after: int = 50 * MS,
-            **more: object) -> list[Action]:
+    def end(self, request: int, at: int, status: Status, after: int = 50 * MS, **more: object) -> list[Action]:
         outcome = Outcome(request, self.tries[request], at, status, after)
         return self.tell(replace(outcome, **more), after=after)  # type: ignore[arg-type]
 
--- a/tests/lab/test_capacity.py
+++ b/tests/lab/test_capacity.py
@@ -46,8 +46,12 @@
     path = tmp_path / "r.json"
     with pytest.raises(ResultError, match=r"r\.json: No such file"):
         Results.read(path)
-    for text, says in (("nope", "no result file"), ('{"format": 9}', "format: must be 1, is 9"), ("[]", "format: must be"),
-                       ('{"format": 1}', "series: can't be read")):
+    for text, says in (
+        ("nope", "no result file"),
+        ('{"format": 9}', "format: must be 1, is 9"),
+        ("[]", "format: must be"),
+        ('{"format": 1}', "series: can't be read"),
+    ):
         path.write_text(text)
         with pytest.raises(ResultError, match=says):
             Results.read(path)
@@ -85,14 +89,17 @@
     assert 1 / TARGET.config_changes_per_s == pytest.approx(16.3, abs=0.1)
 
 
-@pytest.mark.parametrize(("options", "says"), [
-    (("--nodes", "0"), "--nodes: must lie in [1, 2000], got 0"),
-    (("--engines", "63"), "--engines: must lie in [64, 10000], got 63"),
-    (("--processes", "201"), "--processes: must lie in [1, 200], got 201"),
-    (("--processes", "199", "--list-servers", "4"), "--processes: 200 at most"),
-    (("--rate", "0"), "--rate: must lie in [0.01, 100.0], got 0.0"),
-    (("--nodes", "2000", "--engines", "10000"), "--nodes: "),
-])
+@pytest.mark.parametrize(
+    ("options", "says"),
+    [
+        (("--nodes", "0"), "--nodes: must lie in [1, 2000], got 0"),
+        (("--engines", "63"), "--engines: must lie in [64, 10000], got 63"),
+        (("--processes", "201"), "--processes: must lie in [1, 200], got 201"),
+        (("--processes", "199", "--list-servers", "4"), "--processes: 200 at most"),
+        (("--rate", "0"), "--rate: must lie in [0.01, 100.0], got 0.0"),
+        (("--nodes", "2000", "--engines", "10000"), "--nodes: "),
+    ],
+)
 def test_a_fleet_that_cant_be_played_is_told_in_one_line(options: tuple[str, ...], says: str) -> None:
     done = CliRunner().invoke(main, ["lab", "fleet", *options])
     assert done.exit_code == 2 and says in done.output and "Traceback" not in done.output
@@ -101,8 +108,29 @@
 def test_a_small_fleet_of_hollow_nodes_hears_of_every_change(tmp_path: Path) -> None:
     """Real discovery clients, lists and decisions in processes; judged by what the list servers and the nodes counted."""
     path = tmp_path / "fleet.json"
-    done = CliRunner().invoke(main, ["lab", "fleet", "--nodes", "6", "--engines", "64", "--processes", "2", "--list-servers",
-                                     "2", "--rate", "3", "--seconds", "2", "--settle", "2", "--json", str(path)])
+    done = CliRunner().invoke(
+        main,
+        [
+            "lab",
+            "fleet",
+            "--nodes",
+            "6",
+            "--engines",
+            "64",
+            "--processes",
+            "2",
+            "--list-servers",
+            "2",
+            "--rate",
+            "3",
+            "--seconds",
+            "2",
+            "--settle",
+            "2",
+            "--json",
+            str(path),
+        ],
+    )
     assert done.exit_code == 0, done.output
     told = json.loads(path.read_text())
     phases = {phase["name"]: phase for phase in told["phases"]}
--- a/tests/lab/test_day.py
+++ b/tests/lab/test_day.py
@@ -78,13 +78,16 @@
     assert drawn(4) == drawn(4) != drawn(5)
 
 
-@pytest.mark.parametrize(("change", "field"), [
-    ('load { request_class: "huh" tenant: "north" }', "load[7].request_class"),
-    ('load { request_class: "question" tenant: "huh" }', "load[7].tenant"),
-    ('happening { who: "huh" crash: true }', "happening[18].who"),
-    ('happening { who: "node-0" }', "happening[18]"),
-    ('engines { name: "x" count: 1 kind: "huh" }', "engines[3].kind"),
-])
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ('load { request_class: "huh" tenant: "north" }', "load[7].request_class"),
+        ('load { request_class: "question" tenant: "huh" }', "load[7].tenant"),
+        ('happening { who: "huh" crash: true }', "happening[18].who"),
+        ('happening { who: "node-0" }', "happening[18]"),
+        ('engines { name: "x" count: 1 kind: "huh" }', "engines[3].kind"),
+    ],
+)
 def test_a_scenario_that_cant_be_played_is_turned_down_before_anything_starts(change: str, field: str) -> None:
     from google.protobuf import text_format
 
--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -53,28 +53,43 @@
 
 
 BROKEN: dict[str, list[Record]] = {
-    "answer": [{"t": 1.0, "who": "c0", "event": "sent", "id": "b", "node": "n0", "effect": "free", "budget": 1.0,
-                "kept": False},
-               {"t": 5.0, "who": "c0", "event": "answer", "id": "b", "status": -1, "whole": False, "after": 4.0}],
-    "stream": [{"t": 1.0, "who": "c0", "event": "sent", "id": "b", "node": "n0", "effect": "free", "budget": 1.0,
-                "kept": False},
-               {"t": 1.1, "who": "w1", "event": "taken", "id": "b", "budget": 0.9},
-               {"t": 5.0, "who": "c0", "event": "answer", "id": "b", "status": 200, "whole": False, "after": 4.0,
-                "given_up": True}],
-    "held state": [{"t": 2.0, "who": "r0", "event": "read", "id": "b"},
-                   {"t": 4.0, "who": "w1", "event": "released", "id": "b"}],
+    "answer": [
+        {"t": 1.0, "who": "c0", "event": "sent", "id": "b", "node": "n0", "effect": "free", "budget": 1.0, "kept": False},
+        {"t": 5.0, "who": "c0", "event": "answer", "id": "b", "status": -1, "whole": False, "after": 4.0},
+    ],
+    "stream": [
+        {"t": 1.0, "who": "c0", "event": "sent", "id": "b", "node": "n0", "effect": "free", "budget": 1.0, "kept": False},
+        {"t": 1.1, "who": "w1", "event": "taken", "id": "b", "budget": 0.9},
+        {"t": 5.0, "who": "c0", "event": "answer", "id": "b", "status": 200, "whole": False, "after": 4.0, "given_up": True},
+    ],
+    "held state": [
+        {"t": 2.0, "who": "r0", "event": "read", "id": "b"},
+        {"t": 4.0, "who": "w1", "event": "released", "id": "b"},
+    ],
     "repeat": [{"t": 1.7, "who": "w1", "event": "taken", "id": "a", "budget": 1.0}],
-    "left": [{"t": 1.02, "who": "c0", "event": "left", "id": "a"},
-             {"t": 1.6, "who": "p-w1", "event": "bytes", "id": "a", "budget": 1.0}],
+    "left": [
+        {"t": 1.02, "who": "c0", "event": "left", "id": "a"},
+        {"t": 1.6, "who": "p-w1", "event": "bytes", "id": "a", "budget": 1.0},
+    ],
     "deadline": [{"t": 2.0, "who": "p-w1", "event": "bytes", "id": "a", "budget": 1.5}],
-    "drain": [{"t": 1.1, "who": "agent", "event": "list changed", "engine": "w1", "phase": "Terminating", "silent": False},
-              {"t": 1.9, "who": "p-w1", "event": "bytes", "id": "a", "budget": 1.0}],
+    "drain": [
+        {"t": 1.1, "who": "agent", "event": "list changed", "engine": "w1", "phase": "Terminating", "silent": False},
+        {"t": 1.9, "who": "p-w1", "event": "bytes", "id": "a", "budget": 1.0},
+    ],
     "event held back": [{**served("b")[-1], "held_back": 0.5}, {**served("b")[0]}],
     "slow start": [
-        {"t": 1.2, "who": "runner", "event": "fault", "kind": "an engine restarts", "target": "w1", "until": 1.3,
-         "amount": 0.0},
+        {
+            "t": 1.2,
+            "who": "runner",
+            "event": "fault",
+            "kind": "an engine restarts",
+            "target": "w1",
+            "until": 1.3,
+            "amount": 0.0,
+        },
         {"t": 1.5, "who": "agent", "event": "list changed", "engine": "w1", "phase": "Ready", "start_ms": 5, "silent": False},
-        *({"t": 1.7 + n / 100, "who": "p-w1", "event": "bytes", "id": f"x{n}", "budget": 1.0} for n in range(30))],
+        *({"t": 1.7 + n / 100, "who": "p-w1", "event": "bytes", "id": f"x{n}", "budget": 1.0} for n in range(30)),
+    ],
     "stalled client": [{"t": 9.0, "who": "c0", "event": "stalled", "id": "s", "node": "n0", "after": 3.5}],
 }
 
@@ -94,8 +109,15 @@
 
 
 def test_a_stream_that_its_engine_s_silence_has_stopped_is_nobodys_fault() -> None:
-    silence = {"t": 1.2, "who": "runner", "event": "fault", "kind": "silence a machine", "target": "w1", "until": 3.0,
-               "amount": 0.0}
+    silence = {
+        "t": 1.2,
+        "who": "runner",
+        "event": "fault",
+        "kind": "silence a machine",
+        "target": "w1",
+        "until": 3.0,
+        "amount": 0.0,
+    }
     assert rules([*served(), *BROKEN["stream"], silence]) == set()
     assert rules([*served(), *BROKEN["stream"], {**silence, "target": "w0"}]) == {"stream"}
     assert rules([*served(), *BROKEN["event held back"], {**silence, "target": "n0"}]) == set()
@@ -137,9 +159,16 @@
     assert len(kinds) >= 14, "hardly anything is drawn"
 
 
-@pytest.mark.parametrize(("arguments", "named"), [
-    (["--seeds", "x"], "--seeds"), (["--seeds", "5..2"], "--seeds"), (["--nodes", "0"], "--nodes"),
-    (["--minutes", "0"], "--minutes"), (["--schedule", "/no/such/file"], "--schedule")])
+@pytest.mark.parametrize(
+    ("arguments", "named"),
+    [
+        (["--seeds", "x"], "--seeds"),
+        (["--seeds", "5..2"], "--seeds"),
+        (["--nodes", "0"], "--nodes"),
+        (["--minutes", "0"], "--minutes"),
+        (["--schedule", "/no/such/file"], "--schedule"),
+    ],
+)
 def test_bad_input_is_one_error_that_names_the_option(arguments: list[str], named: str) -> None:
     done = CliRunner().invoke(main, ["lab", "soak", *arguments])
     assert done.exit_code == 2 and named in done.output and "Traceback" not in done.output
@@ -193,8 +222,11 @@
 
 
 def test_a_soak_that_is_told_to_stop_leaves_no_process(tmp_path: Path) -> None:
-    soak = subprocess.Popen([sys.executable, "-m", "tuliptrack", "lab", "soak", "--seeds", "1", "--nodes", "1"],
-                            env={**os.environ, "TMPDIR": str(tmp_path)}, stdout=subprocess.DEVNULL)
+    soak = subprocess.Popen(
+        [sys.executable, "-m", "tuliptrack", "lab", "soak", "--seeds", "1", "--nodes", "1"],
+        env={**os.environ, "TMPDIR": str(tmp_path)},
+        stdout=subprocess.DEVNULL,
+    )
     children = Path(f"/proc/{soak.pid}/task/{soak.pid}/children")
     asyncio.run(until(lambda: len(children.read_text().split()) > 3))
     started = children.read_text().split()
--- a/tests/lab/test_twin.py
+++ b/tests/lab/test_twin.py
@@ -16,6 +16,7 @@
 
 def way(fleet: Fleet) -> float:
     """How far of the way from the blind policy's service to the late-seeing one's, after the change, over all seeds."""
+
     def served(policy: object) -> float:
         played = [Twin(fleet, seed, policy).play() for seed in SEEDS]  # type: ignore[arg-type]
         assert not any(r.twice or r.unanswered for r in played), "one answer each, never two attempts at once"
@@ -57,5 +58,4 @@
 
     twin.watch = look
     twin.play()
-    assert seen > 500 and not any(seat.open or seat.running for router in twin.nodes
-                                  for seat in router.seats.values())  # type: ignore[attr-defined]
+    assert seen > 500 and not any(seat.open or seat.running for router in twin.nodes for seat in router.seats.values())  # type: ignore[attr-defined]
--- a/tests/node/test_attempt_state.py
+++ b/tests/node/test_attempt_state.py
@@ -36,9 +36,15 @@
     assert may_send(True, True, True, None) is Verdict.ENDED
 
 
-@pytest.mark.parametrize(("effect", "late", "verdict"), [
-    (Effect.SAFE, 10 * WINDOW, Verdict.YES), (Effect.UNSAFE, 0, Verdict.MAY_HAVE_RUN),
-    (Effect.KEYED, WINDOW, Verdict.YES), (Effect.KEYED, WINDOW + 1, Verdict.WINDOW_OVER)])
+@pytest.mark.parametrize(
+    ("effect", "late", "verdict"),
+    [
+        (Effect.SAFE, 10 * WINDOW, Verdict.YES),
+        (Effect.UNSAFE, 0, Verdict.MAY_HAVE_RUN),
+        (Effect.KEYED, WINDOW, Verdict.YES),
+        (Effect.KEYED, WINDOW + 1, Verdict.WINDOW_OVER),
+    ],
+)
 def test_what_may_have_run_is_repeated_by_its_effect(effect: Effect, late: int, verdict: Verdict) -> None:
     assert may_repeat(effect, 1_000, WINDOW, 1_000 + late) is verdict
     assert may_repeat(effect, 0, WINDOW, 1_000 + late) is Verdict.YES, "nothing has run"
--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -213,8 +213,9 @@
 
     def waits(self, request: int) -> bool:
         """Whether an attempt at a writer waits for the request's state."""
-        return any(not call.over and call.reached and not call.attempt.reading
-                   for call in self.calls if call.record.id == request)
+        return any(
+            not call.over and call.reached and not call.attempt.reading for call in self.calls if call.record.id == request
+        )
 
     def let_go(self, request: int) -> None:
         life = self.lives[request]
@@ -260,11 +261,13 @@
     def guard(self, core: Core) -> None:
         """A machine without one of the core's guards takes it out here."""
 
-    @initialize(effect=st.sampled_from(list(io.Effect)), may_cancel=st.booleans(),
-                connect_timeout=st.sampled_from([250_000, 700_000]))
+    @initialize(
+        effect=st.sampled_from(list(io.Effect)), may_cancel=st.booleans(), connect_timeout=st.sampled_from([250_000, 700_000])
+    )
     def start(self, effect: io.Effect, may_cancel: bool, connect_timeout: int) -> None:
-        base = settings(effect=effect, may_cancel=may_cancel, connect_timeout=connect_timeout, release_within=300_000,
-                        report_fields=())
+        base = settings(
+            effect=effect, may_cancel=may_cancel, connect_timeout=connect_timeout, release_within=300_000, report_fields=()
+        )
         classes = tuple(replace(one, dedup_window=200_000) for one in base.classes)
         self.core = Core(replace(base, classes=classes), 7, "n", CoreLimits(answer_ahead=20_000), AdmissionLimits(64, 64, 64))
         self.engines = Engines(self.core)
@@ -307,8 +310,19 @@
             number = self.core.table._next
             life = Life(answer, self.core.settings.classes[0].effect, now + budget)
             self.engines.lives[number] = life
-            ask = Ask("plain", "prompt", "a", f"s{number}", f"p{prefix}", 1_000, 800, 200, first_by=now + budget,
-                      payload=object(), left=lambda: bool(life.left_at))
+            ask = Ask(
+                "plain",
+                "prompt",
+                "a",
+                f"s{number}",
+                f"p{prefix}",
+                1_000,
+                800,
+                200,
+                first_by=now + budget,
+                payload=object(),
+                left=lambda: bool(life.left_at),
+            )
             self.tickets[number] = self.core.submit(ask, answer)
 
         self.do(submit)
@@ -395,8 +409,11 @@
         self.do(end)
 
     @precondition(lambda self: self.out(sent=True))
-    @rule(number=st.integers(0, 9), status=st.sampled_from([io.Status.RESET, io.Status.ERROR, io.Status.FULL]),
-          gone=st.booleans())
+    @rule(
+        number=st.integers(0, 9),
+        status=st.sampled_from([io.Status.RESET, io.Status.ERROR, io.Status.FULL]),
+        gone=st.booleans(),
+    )
     def an_attempt_fails(self, number: int, status: io.Status, gone: bool) -> None:
         call = self.one(number, self.out(sent=True))
         if call.streams and status is io.Status.FULL:
@@ -483,8 +500,14 @@
             self.loop.close()
 
 
-FAST = examples(max_examples=400, stateful_step_count=30, deadline=None, derandomize=True, database=None,
-                suppress_health_check=list(HealthCheck))
+FAST = examples(
+    max_examples=400,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
 
 
 def test_every_order_of_endings_keeps_the_rules() -> None:
@@ -535,9 +558,18 @@
     core.submit = lambda ask, answer: submit(replace(ask, left=lambda: False), answer)  # type: ignore[method-assign]
 
 
-@pytest.mark.parametrize("removed", [
-    holds_without_end, held_from_any_end, written_counts_as_arrived,
-    always_wanted, windows_forgotten, reads_break_unseen, leavers_untold])
+@pytest.mark.parametrize(
+    "removed",
+    [
+        holds_without_end,
+        held_from_any_end,
+        written_counts_as_arrived,
+        always_wanted,
+        windows_forgotten,
+        reads_break_unseen,
+        leavers_untold,
+    ],
+)
 def test_a_core_without_a_guard_is_found_out(removed: Callable[[Core], None]) -> None:
     class Unguarded(Orders):
         def guard(self, core: Core) -> None:
--- a/tests/node/test_line_file.py
+++ b/tests/node/test_line_file.py
@@ -48,7 +48,8 @@
 @pytest.mark.parametrize("call", ["pwrite", "fsync"])
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
 def test_an_append_that_fails_leaves_the_file_without_it(
-        call: str, number: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    call: str, number: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "report"
     line_file.append(path, "one\n")
     whole = getattr(os, call)
--- a/tests/node/test_silent_connections_on_grpc.py
+++ b/tests/node/test_silent_connections_on_grpc.py
@@ -40,10 +40,12 @@
 
 def silence_open(roles: str) -> Callable[[Proxies], None]:
     """The connections to engines of these roles that are open now swallow everything; new ones work."""
+
     def begin(proxies: Proxies) -> None:
         for name, proxy in proxies.items():
             if name[0] in roles:
                 proxy.fail_open_connections(Fault.DISCARD)
+
     return begin
 
 
@@ -53,8 +55,10 @@
 
 
 SILENCES: dict[str, Callable[[Proxies], object]] = {
-    "a writer": silence_machine("w0"), "a reader": silence_machine("r0"),
-    "open connections": silence_open("rw")}
+    "a writer": silence_machine("w0"),
+    "a reader": silence_machine("r0"),
+    "open connections": silence_open("rw"),
+}
 
 
 def longest_held(w: World, since: int) -> int:
@@ -63,9 +67,15 @@
     rows = [row for row in w.seen() if row["t"] >= since]
 
     def settled(kept: dict[str, Any]) -> int:
-        ends = [row["t"] for row in rows if row["t"] >= kept["t"] and (
-            (row["what"] == "let go" and row["state"] == kept["state"])
-            or (row["what"] == "call" and row["kind"] == "write" and row["request"] == kept["request"]))]
+        ends = [
+            row["t"]
+            for row in rows
+            if row["t"] >= kept["t"]
+            and (
+                (row["what"] == "let go" and row["state"] == kept["state"])
+                or (row["what"] == "call" and row["kind"] == "write" and row["request"] == kept["request"])
+            )
+        ]
         return min(ends, default=NEVER)
 
     return max((settled(row) - row["t"] for row in rows if row["what"] == "kept"), default=0)
--- a/tests/node/test_zone_account.py
+++ b/tests/node/test_zone_account.py
@@ -29,7 +29,8 @@
 
 @pytest.mark.parametrize("call", ["pwrite", "fsync", "open"])
 def test_an_interval_that_can_not_be_written_goes_with_the_next(
-        call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    call: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "report"
     books = account(path)
     moved(books, 100)
--- a/tests/oracle/state.py
+++ b/tests/oracle/state.py
@@ -93,8 +93,7 @@
         """The pace that only a quarter of its last answers were quicker than; 0 where there were none."""
         return sorted(self.paces)[len(self.paces) // 4] if self.paces else 0.0
 
-    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool,
-                 now: int) -> None:
+    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool, now: int) -> None:
         """Bring the averages up to an answer. The time per token is a ratio of two averages: a prompt that is
         nearly all kept has a few tokens of its own and would swamp an average of ratios."""
         self.work += weight * (flight.work - self.work)
@@ -303,15 +302,22 @@
     def ready(self, role: Role) -> list[Seat]:
         """The servers that take this role's work, mixed ones too."""
         if role not in self._ready:
-            self._ready[role] = [s for _, s in sorted(self.seats.items())
-                                 if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)]
+            self._ready[role] = [
+                s for _, s in sorted(self.seats.items()) if s.info.state is ServerState.READY and s.role in (role, Role.BOTH)
+            ]
         return self._ready[role]
 
     def size(self, role: Role, cell: int | None = None) -> float:
         """The listed sizes of the ready servers of just this role, in all or in one cell, summed."""
         if (role, cell) not in self._parts:
-            self._parts[role, cell] = sum(round(s.info.weight * SIZE_UNIT) for s in self.ready(role)
-                                          if s.role is role and cell in (None, s.info.cell)) / SIZE_UNIT
+            self._parts[role, cell] = (
+                sum(
+                    round(s.info.weight * SIZE_UNIT)
+                    for s in self.ready(role)
+                    if s.role is role and cell in (None, s.info.cell)
+                )
+                / SIZE_UNIT
+            )
         return max(self._parts[role, cell], 1e-6)
 
     def cell_part(self, role: Role, cell: int) -> float:
--- a/tests/peers/triton.py
+++ b/tests/peers/triton.py
@@ -43,10 +43,17 @@
         found["model ready"] = [client.is_model_ready(*m) for m in (("tulip",), ("tulip", "2"), ("rose",))]
         found["metadata"] = client.get_server_metadata(as_json=True)
         found["model"] = client.get_model_metadata("tulip", as_json=True)
-        whole = client.infer("tulip", [text(tgrpc, "q1 what?"), count(tgrpc, 5)], request_id="one",
-                             parameters={"session": "s", "request_class": "summary"})
-        found["infer"] = {"id": whole.get_response().id, "text": whole.as_numpy("text_output")[0].decode(),
-                          "finish": whole.get_response().parameters["finish_reason"].string_param}
+        whole = client.infer(
+            "tulip",
+            [text(tgrpc, "q1 what?"), count(tgrpc, 5)],
+            request_id="one",
+            parameters={"session": "s", "request_class": "summary"},
+        )
+        found["infer"] = {
+            "id": whole.get_response().id,
+            "text": whole.as_numpy("text_output")[0].decode(),
+            "finish": whole.get_response().parameters["finish_reason"].string_param,
+        }
         found["unknown model"] = error(lambda: client.infer("rose", [text(tgrpc, "q")]))
         found["no text"] = error(lambda: client.infer("tulip", [count(tgrpc, 5)]))
         found["bad parameter"] = error(lambda: client.infer("tulip", [text(tgrpc, "q")], parameters={"huh": "x"}))
@@ -55,8 +62,9 @@
         client.start_stream(lambda result, error: got.put((result, error)))
         names = [f"q{n} what?" for n in range(4)]
         for n, name in enumerate(names):
-            client.async_stream_infer("rose" if n == 2 else "tulip", [text(tgrpc, name)], request_id=str(n),
-                                      enable_empty_final_response=n == 3)
+            client.async_stream_infer(
+                "rose" if n == 2 else "tulip", [text(tgrpc, name)], request_id=str(n), enable_empty_final_response=n == 3
+            )
         streams = {str(n): {"text": "", "responses": 0, "finals": 0} for n in range(4)}
         over = 0
         while over < 4:
@@ -87,8 +95,12 @@
         found["metadata"] = client.get_server_metadata()
         found["model"] = client.get_model_metadata("tulip")
         for name, binary in (("binary", True), ("json", False)):
-            whole = client.infer("tulip", [text(thttp, "q1 what?", binary), count(thttp, 5)], request_id="one",
-                                 outputs=[thttp.InferRequestedOutput("text_output", binary_data=binary)])
+            whole = client.infer(
+                "tulip",
+                [text(thttp, "q1 what?", binary), count(thttp, 5)],
+                request_id="one",
+                outputs=[thttp.InferRequestedOutput("text_output", binary_data=binary)],
+            )
             out = whole.as_numpy("text_output")[0]
             found[name] = {"id": whole.get_response()["id"], "text": out.decode() if isinstance(out, bytes) else out}
         found["unknown model"] = error(lambda: client.infer("rose", [text(thttp, "q")]))
--- a/tests/relay/test_deadlines.py
+++ b/tests/relay/test_deadlines.py
@@ -66,9 +66,7 @@
     async def go() -> None:
         told = Told()
         async with platform(r0=told.breaks_late(reads, 0, 0.0), w0=told.breaks_late(writes, 0, 0.0)) as p:
-            delay_connections(
-                monkeypatch, lambda port: 0.2 if port in (p.engines["r0"].port, p.engines["w0"].port) else 0
-            )
+            delay_connections(monkeypatch, lambda port: 0.2 if port in (p.engines["r0"].port, p.engines["w0"].port) else 0)
             assert await told.ask(p) == 200
             assert told.excess() < SLACK_S
 
--- a/tests/relay/test_discovery.py
+++ b/tests/relay/test_discovery.py
@@ -22,6 +22,7 @@
 
 def says(data: bytes, ends: bool = True) -> Script:
     """Answers every call so, and then closes or says nothing."""
+
     async def script(one: Seen, writer: asyncio.StreamWriter) -> None:
         writer.write(data)
         await writer.drain()
@@ -56,9 +57,17 @@
     """The agent has a drain from now on: it is heeded in time, and nothing new goes there then."""
     began = asyncio.get_running_loop().time()
     p.tell(r0="Terminating", w0="Terminating")
-    await until(lambda: len(p.relay.members.addresses) == 4 and all(
-        s.info.state is ServerState.DRAINING for s in p.relay.router.seats.values()
-        if p.relay.members.names[s.info.id] in ("r0", "w0")), TOLD_S)
+    await until(
+        lambda: (
+            len(p.relay.members.addresses) == 4
+            and all(
+                s.info.state is ServerState.DRAINING
+                for s in p.relay.router.seats.values()
+                if p.relay.members.names[s.info.id] in ("r0", "w0")
+            )
+        ),
+        TOLD_S,
+    )
     assert asyncio.get_running_loop().time() - began < TOLD_S
     before = {name: len(p.engines[name].asked()) for name in ("r0", "w0")}
     for _ in range(6):
@@ -90,11 +99,12 @@
 
 async def _dripping(p: Platform, monkeypatch: pytest.MonkeyPatch) -> None:
     """Each answer takes a second, and is never silent for a tenth of one."""
+
     async def drips(one: Seen, writer: asyncio.StreamWriter) -> None:
         body = json.dumps({"revision": p.revision, "complete": True, "members": p.members()}).encode()
         data = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body)
         for at in range(0, len(data), len(data) // 19):
-            writer.write(data[at:at + len(data) // 19])
+            writer.write(data[at : at + len(data) // 19])
             await asyncio.sleep(0.05)
 
     p.agent.script = drips
@@ -115,8 +125,9 @@
 
 
 @pytest.mark.parametrize("trouble", [_late_connections, _dripping, _busy])
-def test_a_drain_is_heeded_through_a_slow_agent(trouble: Callable[..., Awaitable[None]],
-                                                monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_drain_is_heeded_through_a_slow_agent(
+    trouble: Callable[..., Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def go() -> None:
         async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
             await until(lambda: len(p.agent.seen) > 1)
@@ -180,8 +191,12 @@
             p.relay.source.move(other.address)
             await until(lambda: p.relay.members.revision == 3, TOLD_S)
             states = {p.relay.members.names[s.info.id]: s.info.state for s in p.relay.router.seats.values()}
-            assert states == {"r0": ServerState.DRAINING, "w0": ServerState.DRAINING, "r1": ServerState.READY,
-                              "w1": ServerState.READY}
+            assert states == {
+                "r0": ServerState.DRAINING,
+                "w0": ServerState.DRAINING,
+                "r1": ServerState.READY,
+                "w1": ServerState.READY,
+            }
             p.tell(r1="Terminating", w1="Terminating")  # It names all of them now: it is believed.
             await until(lambda: p.relay.members.revision == 4, TOLD_S)
             for _ in range(4):
@@ -207,8 +222,14 @@
 
 def test_a_list_behind_the_one_held_revives_no_server_that_was_leaving() -> None:
     def entry(name: str, phase: str = "Ready", since: int = 0) -> dict[str, Any]:
-        return {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "flavor": "reads", "phase": phase,
-                "up_since_ms": since}
+        return {
+            "id": name,
+            "host_port": "127.0.0.1:1",
+            "locality": "z",
+            "flavor": "reads",
+            "phase": phase,
+            "up_since_ms": since,
+        }
 
     def states(change: Any) -> list[ServerState]:
         return [server.state for server in change.servers]
@@ -216,8 +237,9 @@
     members = Members(("reads",), ("z",))
     members.take({"revision": 5, "complete": True, "members": [entry("a"), entry("b"), entry("c"), entry("d")]})
     members.take({"revision": 6, "complete": False, "members": [entry("a", "Terminating"), entry("d", "Terminating")]})
-    members.take({"revision": 7, "complete": True, "members": [entry("a", "Terminating"), entry("c"),
-                                                             entry("d", "Terminating")]})
+    members.take(
+        {"revision": 7, "complete": True, "members": [entry("a", "Terminating"), entry("c"), entry("d", "Terminating")]}
+    )
     old = {"revision": 4, "complete": True, "members": [entry("a"), entry("b"), entry("c"), entry("d", since=1_000)]}
     assert members.take(old) is None
     taken = members.take(old, anew=True)
@@ -232,8 +254,16 @@
     members = Members(("reads",), ("z",))
 
     def told(revision: int, whole: bool, *names: str) -> Any:
-        return members.take({"revision": revision, "complete": whole, "members": [
-            {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "flavor": "reads", "phase": "Ready"} for name in names]})
+        return members.take(
+            {
+                "revision": revision,
+                "complete": whole,
+                "members": [
+                    {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "flavor": "reads", "phase": "Ready"}
+                    for name in names
+                ],
+            }
+        )
 
     told(1, True, "stays", "goes")
     for n in range(30):
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -42,6 +42,7 @@
 @pytest.mark.parametrize(("effect", "status"), [("free", 503), ("single_shot", 502)])
 def test_a_read_that_is_out_as_the_node_ends_is_refused_only_where_it_may_run_twice(effect: str, status: int) -> None:
     """Its engine hangs and has the whole request: whatever becomes of the connection, it may run yet."""
+
     async def go() -> None:
         async with platform(one_class(effect=effect), r0=hanging_reader, w0=writes) as p:
             reader, writer = await p.connect()
@@ -63,9 +64,9 @@
                 _, writer = await p.connect()
                 size = -(-len(whole) // pieces)
                 for at in range(0, len(whole) - size, size):
-                    writer.write(whole[at:at + size])
+                    writer.write(whole[at : at + size])
                     await asyncio.sleep(0)
-                writer.write(whole[len(whole) - size:])
+                writer.write(whole[len(whole) - size :])
                 writer.write_eof()  # In the same turn of the loop as the last byte.
                 await until(lambda: not p.relay.front.server.links)
                 writer.close()
@@ -83,7 +84,7 @@
                 with socket.create_connection((host, int(port))) as sock:
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                     if number % 3:
-                        sock.sendall(request(f"reset-{number}")[:number % 3 * 100])
+                        sock.sendall(request(f"reset-{number}")[: number % 3 * 100])
                 await asyncio.sleep(0)
             await until(lambda: not p.relay.front.server.links)
             assert not p.saw("POST")
@@ -92,8 +93,9 @@
     run(go, virtual=True)
 
 
-@pytest.mark.parametrize("half", [
-    b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\ncontent-ty", OPENING + b"1", OPENING + chunk(TOKENS[0])[:9]])
+@pytest.mark.parametrize(
+    "half", [b"HTTP/1.1 20", b"HTTP/1.1 200 OK\r\ncontent-ty", OPENING + b"1", OPENING + chunk(TOKENS[0])[:9]]
+)
 def test_half_a_line_from_an_engine_that_ends_is_an_attempt_that_failed(half: bytes) -> None:
     async def go() -> None:
         tried: list[str] = []
--- a/tests/relay/test_floods.py
+++ b/tests/relay/test_floods.py
@@ -65,8 +65,9 @@
 def test_floods_take_no_service_from_others_and_little_memory(tmp_path: Path) -> None:
     async def go() -> None:
         async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
-            node = await start_node(p.agent.address, tmp_path / "config.json", known={
-                "revision": 1, "complete": True, "members": p.members()})
+            node = await start_node(
+                p.agent.address, tmp_path / "config.json", known={"revision": 1, "complete": True, "members": p.members()}
+            )
             ids = itertools.count()
 
             async def client(count: int) -> int:
@@ -104,10 +105,12 @@
 
 def test_two_hundred_changes_of_the_list_leave_nothing_behind(tmp_path: Path) -> None:
     """Every engine is replaced again and again, under load."""
+
     async def go() -> None:
         async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
-            node = await start_node(p.agent.address, tmp_path / "config.json", known={
-                "revision": 1, "complete": True, "members": p.members()})
+            node = await start_node(
+                p.agent.address, tmp_path / "config.json", known={"revision": 1, "complete": True, "members": p.members()}
+            )
             reader, writer = await node.connect()
             generation = 0
             members = p.members
--- a/tests/relay/test_gone.py
+++ b/tests/relay/test_gone.py
@@ -73,7 +73,7 @@
                 more = request("ahead", b'"' + b"x" * 2_000 + b'"') * (ahead // 2_000)
                 with contextlib.suppress(BlockingIOError):
                     while more:
-                        more = more[sock.send(more):]
+                        more = more[sock.send(more) :]
                         await asyncio.sleep(0.001)
             leave(sock)
             await asyncio.sleep(GONE_S)
@@ -91,7 +91,8 @@
 @pytest.mark.parametrize("leave", LEAVES)
 @pytest.mark.parametrize("may_cancel", [True, False])
 def test_an_attempt_whose_connection_comes_up_after_its_client_left_is_not_sent(
-        leave: Leave, may_cancel: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    leave: Leave, may_cancel: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def go() -> None:
         limits = {**SETTINGS["limits"], "cancel": may_cancel}
         async with platform({"settings": {"limits": limits}}, r0=reads, w0=writes) as p:
@@ -117,6 +118,7 @@
 @pytest.mark.parametrize("leave", LEAVES)
 def test_many_that_left_before_a_busy_node_looked_are_sent_nowhere(leave: Leave) -> None:
     """The node has no processor time while they connect, ask and go; others that stay are served."""
+
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
             assert (await p.ask()).whole
@@ -138,6 +140,7 @@
 @pytest.mark.parametrize("leave", LEAVES)
 def test_no_further_attempt_follows_one_that_broke_after_its_client_left(leave: Leave) -> None:
     """An engine breaks the read off while the node is busy, after the client has gone."""
+
     async def go() -> None:
         breaks = asyncio.Event()
 
@@ -162,6 +165,7 @@
 
 def test_an_attempt_given_up_before_it_was_sent_never_ran() -> None:
     """Its engine took no connection until the node's patience ended: though not to be repeated, it goes elsewhere."""
+
     async def go() -> None:
         keyed = {**SETTINGS["classes"][0], "effect": "guarded", "keyScope": "zone", "dedupWindow": 1}
         limits = {**SETTINGS["limits"], "connectTimeout": 4_000_000}
--- a/tests/relay/test_lean.py
+++ b/tests/relay/test_lean.py
@@ -5,8 +5,22 @@
 import subprocess
 import sys
 
-OFF = ("matplotlib", "grpc", "xds", "lmdb", "h2", "google", "click", "tuliptrack.store", "tuliptrack.lab", "tuliptrack.cli",
-       "tuliptrack.proto", "tuliptrack.fleet", "tuliptrack.decisions.rollout", "tuliptrack.decisions.register")
+OFF = (
+    "matplotlib",
+    "grpc",
+    "xds",
+    "lmdb",
+    "h2",
+    "google",
+    "click",
+    "tuliptrack.store",
+    "tuliptrack.lab",
+    "tuliptrack.cli",
+    "tuliptrack.proto",
+    "tuliptrack.fleet",
+    "tuliptrack.decisions.rollout",
+    "tuliptrack.decisions.register",
+)
 
 
 def test_the_node_on_the_platform_loads_nothing_that_is_off_there() -> None:
--- a/tests/relay/test_process_failures.py
+++ b/tests/relay/test_process_failures.py
@@ -65,9 +65,23 @@
 def known(p: Platform) -> dict[str, object]:
     """The platform's engines as a node may know them from its settings."""
     kinds = {"r": "reads", "w": "writes"}
-    return {"revision": 1, "complete": True, "members": [
-        {"id": name, "host_port": peer.address, "locality": "z", "flavor": kinds[name[0]], "cell": 1, "phase": "Ready",
-         "size": 1.0, "up_since_ms": 0} for name, peer in p.engines.items()]}
+    return {
+        "revision": 1,
+        "complete": True,
+        "members": [
+            {
+                "id": name,
+                "host_port": peer.address,
+                "locality": "z",
+                "flavor": kinds[name[0]],
+                "cell": 1,
+                "phase": "Ready",
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for name, peer in p.engines.items()
+        ],
+    }
 
 
 @contextlib.contextmanager
@@ -106,8 +120,11 @@
 
 
 LOGS: dict[str, Callable[[], contextlib.AbstractContextManager[int]]] = {
-    "a full disk": full_disk, "a reader that has gone": pipe_without_reader, "a reader that stands still": pipe_that_is_full,
-    "closed": nothing}
+    "a full disk": full_disk,
+    "a reader that has gone": pipe_without_reader,
+    "a reader that stands still": pipe_that_is_full,
+    "closed": nothing,
+}
 
 
 @pytest.mark.parametrize("log", LOGS)
@@ -116,8 +133,9 @@
         async with platform(r0=reads, w0=writes) as p:
             port = free_port()
             with LOGS[log]() as standard_error:
-                process = await spawn_node(tmp_path / "config.json", told(
-                    p.agent.address, listen=f"127.0.0.1:{port}", known=known(p)), standard_error)
+                process = await spawn_node(
+                    tmp_path / "config.json", told(p.agent.address, listen=f"127.0.0.1:{port}", known=known(p)), standard_error
+                )
                 try:
                     await serves(process, port)
                     statuses = await asyncio.gather(*(ask(port, f"q{n}") for n in range(20)))
@@ -137,9 +155,7 @@
 
 
 @asynccontextmanager
-async def starting(
-    path: Path, text: str, shim: str = "", **environment: str
-) -> AsyncIterator[asyncio.subprocess.Process]:
+async def starting(path: Path, text: str, shim: str = "", **environment: str) -> AsyncIterator[asyncio.subprocess.Process]:
     """A node's process that has begun, whose log nobody wants."""
     with open(os.devnull, "wb") as unread:
         process = await spawn_node(path, text, unread.fileno(), shim, environment)
@@ -149,8 +165,11 @@
             await killed(process)
 
 
-@pytest.mark.parametrize("number", [errno.ENFILE, errno.EMFILE, errno.EIO, errno.ENOMEM, errno.ENOENT],
-                         ids=["ENFILE", "EMFILE", "EIO", "ENOMEM", "ENOENT"])
+@pytest.mark.parametrize(
+    "number",
+    [errno.ENFILE, errno.EMFILE, errno.EIO, errno.ENOMEM, errno.ENOENT],
+    ids=["ENFILE", "EMFILE", "EIO", "ENOMEM", "ENOENT"],
+)
 def test_a_node_starts_where_its_settings_cannot_be_read_for_a_moment(number: int, tmp_path: Path) -> None:
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
--- a/tests/relay/test_ready.py
+++ b/tests/relay/test_ready.py
@@ -43,8 +43,9 @@
                 await bare.wait()
                 after = resource.getrusage(resource.RUSAGE_CHILDREN)
                 interpreter = after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime
-                node = await start_node(p.agent.address, tmp_path / "config.json", known={
-                    "revision": 1, "complete": True, "members": p.members()})
+                node = await start_node(
+                    p.agent.address, tmp_path / "config.json", known={"revision": 1, "complete": True, "members": p.members()}
+                )
                 ratios.append(cpu(node.process.pid) / interpreter)
                 reader, writer = await node.connect()
                 assert await ready(node) == 200
@@ -68,8 +69,12 @@
             core, all_cores = min(os.sched_getaffinity(0)), os.sched_getaffinity(0)
             os.sched_setaffinity(0, {core})  # What is started from here stays there.
             began = time.monotonic()
-            starting = [asyncio.ensure_future(start_node(p.agent.address, path, known={
-                "revision": 1, "complete": True, "members": p.members()})) for path in paths]
+            starting = [
+                asyncio.ensure_future(
+                    start_node(p.agent.address, path, known={"revision": 1, "complete": True, "members": p.members()})
+                )
+                for path in paths
+            ]
             await asyncio.sleep(0.5)
             os.sched_setaffinity(0, all_cores)
             took = []
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -62,11 +62,23 @@
 
 def test_what_a_head_says_end_to_end_reaches_engines_and_what_is_of_one_connection_does_not() -> None:
     """Classes that may be repeated with a key carry it in a field of their own, which no settings name."""
+
     async def go() -> None:
         async with platform(r0=reads, w0=writes) as p:
-            reply = await p.say(request(
-                "keyed", Idempotency_Key="k-77", Accept_Language="de, en", X_Name="J\u00f6rg", Cookie="a=1",
-                Connection="keep-alive, X-Hop", X_Hop="1", TE="trailers", Keep_Alive="timeout=5", Accept_Encoding="gzip"))
+            reply = await p.say(
+                request(
+                    "keyed",
+                    Idempotency_Key="k-77",
+                    Accept_Language="de, en",
+                    X_Name="J\u00f6rg",
+                    Cookie="a=1",
+                    Connection="keep-alive, X-Hop",
+                    X_Hop="1",
+                    TE="trailers",
+                    Keep_Alive="timeout=5",
+                    Accept_Encoding="gzip",
+                )
+            )
             assert reply.status == 200 and reply.whole
             sent = {"idempotency-key": "k-77", "accept-language": "de, en", "x-name": "J\u00c3\u00b6rg", "cookie": "a=1"}
             for one in p.saw():
@@ -90,11 +102,19 @@
     return script
 
 
-@pytest.mark.parametrize("parts", [
-    (b"\x00\xff\x13noise\r\n\r\n",), (b"HTTP/1.1 200 OK\r\nx: " + b"y" * 70_000,), (OPENING + b"zz\r\n",),
-    (OPENING + b"5\r\nhello world, this does not fit\r\n",), (OPENING + chunk(b"never an end " * 6_000),),
-    (b"HTTP/1.1 100 Continue\r\n\r\n" * 40,), (OPENING + b"0\r\n\r\n",),
-], ids=["noise", "head without end", "chunk size", "chunk that does not fit", "event without end", "1xx for ever", "empty"])
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"\x00\xff\x13noise\r\n\r\n",),
+        (b"HTTP/1.1 200 OK\r\nx: " + b"y" * 70_000,),
+        (OPENING + b"zz\r\n",),
+        (OPENING + b"5\r\nhello world, this does not fit\r\n",),
+        (OPENING + chunk(b"never an end " * 6_000),),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" * 40,),
+        (OPENING + b"0\r\n\r\n",),
+    ],
+    ids=["noise", "head without end", "chunk size", "chunk that does not fit", "event without end", "1xx for ever", "empty"],
+)
 def test_a_stream_spoilt_before_its_first_event_is_tried_elsewhere(parts: tuple[bytes, ...]) -> None:
     async def go() -> None:
         tried: list[Seen] = []
@@ -113,8 +133,16 @@
     run(go, virtual=True)
 
 
-@pytest.mark.parametrize("part", [b"zz\r\n", b"b2d05e00\r\n" + b"data: x" * 50_000, b"4\r\nnot what it says\r\n",
-                                  chunk(b"no event\n\n"), chunk(b"data: cut") + b"0\r\n\r\n"])
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"zz\r\n",
+        b"b2d05e00\r\n" + b"data: x" * 50_000,
+        b"4\r\nnot what it says\r\n",
+        chunk(b"no event\n\n"),
+        chunk(b"data: cut") + b"0\r\n\r\n",
+    ],
+)
 def test_a_stream_spoilt_later_ends_the_clients_connection_without_its_last_chunk(part: bytes) -> None:
     async def go() -> None:
         async with platform(r0=reads, w0=spoilt(OPENING + chunk(TOKENS[0]), part), w1=hangs) as p:
@@ -163,6 +191,7 @@
 
 def test_a_state_is_not_held_while_one_connection_after_another_fails_to_come_up() -> None:
     """With three writers that take no connection it was held for three times `connectTimeout`."""
+
     async def go() -> None:
         held: list[float] = []
         let_go: list[float] = []
@@ -306,6 +335,7 @@
 
 def test_what_a_silent_agent_has_at_its_return_is_heeded_within_the_drain_grace() -> None:
     """Calls that are open in an outage are never answered; a watch alone falls silent while new calls are answered."""
+
     async def go() -> None:
         async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
             grace = SETTINGS["obligations"]["drainGrace"] / 1e6
@@ -339,6 +369,7 @@
 
 def test_what_may_have_run_is_not_refused_as_the_node_ends() -> None:
     """Its prompt is being read anew, after an attempt at a writer that broke: a refusal would say that it never ran."""
+
     async def go() -> None:
         async def breaks(one: Seen, writer: asyncio.StreamWriter) -> None:
             if one.method == "POST":
@@ -391,6 +422,7 @@
 
 def test_no_repeat_is_sent_after_its_window_when_its_connection_comes_up_late(monkeypatch: pytest.MonkeyPatch) -> None:
     """The first attempt breaks within the window; the second one's connection comes up after it."""
+
     async def go() -> None:
         async def breaks(one: Seen, writer: asyncio.StreamWriter) -> None:
             await asyncio.sleep(0.1)
@@ -398,8 +430,12 @@
 
         held_up = HELD_UP_US / 1e6  # A node may be held up for so long before it writes: its window is that much shorter.
         window = 0.4
-        keyed = {**SETTINGS["classes"][0], "effect": "guarded", "keyScope": "zone",
-                 "dedupWindow": int((window + held_up) * 1e6)}
+        keyed = {
+            **SETTINGS["classes"][0],
+            "effect": "guarded",
+            "keyScope": "zone",
+            "dedupWindow": int((window + held_up) * 1e6),
+        }
         limits = {**SETTINGS["limits"], "connectTimeout": 2_000_000}
         loop = asyncio.get_running_loop()
         for late in (0.0, window + 0.2):
@@ -582,9 +618,16 @@
     run(go, 60)
 
 
-@pytest.mark.parametrize(("change", "field"), [
-    ({"listen": "nowhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"settings": {"classes": 3}}, "settings"),
-    ({"limits": {"sockets": "many"}}, "limits.sockets"), ({"known": 7}, "known")])
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": {"classes": 3}}, "settings"),
+        ({"limits": {"sockets": "many"}}, "limits.sockets"),
+        ({"known": 7}, "known"),
+    ],
+)
 def test_settings_that_cant_be_used_are_named(change: dict[str, Any], field: str) -> None:
     from tuliptrack.relay.config import RelayConfigError
 
--- a/tests/relay/test_releases.py
+++ b/tests/relay/test_releases.py
@@ -114,6 +114,7 @@
 
 def test_an_attempt_that_has_brought_no_word_goes_on_and_what_it_may_have_left_is_let_go_in_time() -> None:
     """That its bytes were confirmed tells nothing of its engine, so the state is let go beside it; the engine spares it."""
+
     async def go() -> None:
         line = Timeline()
 
@@ -197,6 +198,7 @@
 
 def test_no_release_is_made_while_another_attempt_of_the_request_goes_on() -> None:
     """The first read is given up on, the second one's state goes to a writer, whose first token frees whatever was held."""
+
     async def go() -> None:
         line = Timeline()
         first: list[str] = []
@@ -281,10 +283,13 @@
     run(go, virtual=True)
 
 
-@pytest.mark.parametrize("changes", [
-    pytest.param({}, id="attempts may be called off"),
-    pytest.param({"settings": {"limits": {**SETTINGS["limits"], "cancel": False}}}, id="attempts may not be called off"),
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        pytest.param({}, id="attempts may be called off"),
+        pytest.param({"settings": {"limits": {**SETTINGS["limits"], "cancel": False}}}, id="attempts may not be called off"),
+    ],
+)
 def test_what_is_held_as_the_node_ends_is_let_go_before_it_is_gone(changes: dict[str, Any]) -> None:
     async def go() -> None:
         line = Timeline()
--- a/tests/relay/test_silent_connections.py
+++ b/tests/relay/test_silent_connections.py
@@ -103,6 +103,7 @@
         async def one(number: int) -> Result:
             await asyncio.sleep(ARRIVALS_S * number / REQUESTS)
             return await self.ask(f"{title}-{number}", EFFECTS[number % len(EFFECTS)])
+
         return await asyncio.gather(*(one(number) for number in range(REQUESTS)))
 
     async def warm_up(self, title: str) -> None:
@@ -121,8 +122,19 @@
     peers = {name: await Peer(script).start() for name, script in scripts.items()}
     proxies = {name: await FaultProxy(peer.address).start() for name, peer in peers.items()}
     kinds = {"r": "reads", "w": "writes"}
-    members = [{"id": name, "host_port": proxy.address, "locality": "z", "flavor": kinds[name[0]], "cell": 1,
-                "phase": "Ready", "size": 1.0, "up_since_ms": 0} for name, proxy in proxies.items()]
+    members = [
+        {
+            "id": name,
+            "host_port": proxy.address,
+            "locality": "z",
+            "flavor": kinds[name[0]],
+            "cell": 1,
+            "phase": "Ready",
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
+        for name, proxy in proxies.items()
+    ]
 
     async def list_of_engines(one: Seen, out: asyncio.StreamWriter) -> None:
         await asyncio.sleep(0.1)
@@ -132,8 +144,12 @@
     agent = await Peer(list_of_engines).start()
     plain = {**SETTINGS["classes"][0], "dedupWindow": 2_000_000}
     classes = [{**plain, "name": effect, "effect": effect} for effect in EFFECTS]
-    node = await start_node(agent.address, folder / "config.json", settings={**SETTINGS, "classes": classes},
-                            known={"revision": 1, "complete": True, "members": members})
+    node = await start_node(
+        agent.address,
+        folder / "config.json",
+        settings={**SETTINGS, "classes": classes},
+        known={"revision": 1, "complete": True, "members": members},
+    )
     try:
         yield World(journal, node, proxies)
     finally:
@@ -156,31 +172,38 @@
 
 def machines(kind: str, count: int) -> Callable[[World], None]:
     """So many machines fall silent, open connections and new ones alike."""
+
     def begin(w: World) -> None:
         for proxy in w.of(kind)[:count]:
             proxy.fail_machine(Fault.DISCARD)
+
     return begin
 
 
 def kept_connections(*kinds: str) -> Callable[[World], None]:
     """All open connections to engines of these kinds fall silent; new ones work."""
+
     def begin(w: World) -> None:
         for kind in kinds:
             for proxy in w.of(kind):
                 proxy.fail_open_connections(Fault.DISCARD)
+
     return begin
 
 
 def late_bytes(kind: str) -> Callable[[World], None]:
     """All bytes to and from these engines arrive 1.2 s late."""
+
     def begin(w: World) -> None:
         for proxy in w.of(kind):
             proxy.delay_s = 1.2
+
     return begin
 
 
 def held_bytes(kind: str, count: int) -> Callable[[World], None]:
     """So many machines are cut off and get it all when the cut is over."""
+
     def begin(w: World) -> None:
         for proxy in w.of(kind)[:count]:
             proxy.fail_machine(Fault.HOLD)
@@ -190,19 +213,27 @@
                 proxy.heal()
 
         asyncio.get_running_loop().call_later(1.5, end)
+
     return begin
 
 
 SILENCES = {
     "machines": [
-        Silence("two-writers", machines("w", 2)), Silence("four-writers", machines("w", 4)),
-        Silence("a-reader", machines("r", 1)), Silence("every-writer", machines("w", WRITERS), False)],
+        Silence("two-writers", machines("w", 2)),
+        Silence("four-writers", machines("w", 4)),
+        Silence("a-reader", machines("r", 1)),
+        Silence("every-writer", machines("w", WRITERS), False),
+    ],
     "kept connections": [
-        Silence("to-writers", kept_connections("w")), Silence("to-readers", kept_connections("r")),
-        Silence("to-all", kept_connections("r", "w"))],
+        Silence("to-writers", kept_connections("w")),
+        Silence("to-readers", kept_connections("r")),
+        Silence("to-all", kept_connections("r", "w")),
+    ],
     "late bytes": [
-        Silence("late-writers", late_bytes("w"), False), Silence("held-writers", held_bytes("w", 4)),
-        Silence("held-readers", held_bytes("r", 1))],
+        Silence("late-writers", late_bytes("w"), False),
+        Silence("held-writers", held_bytes("w", 4)),
+        Silence("held-readers", held_bytes("r", 1)),
+    ],
 }
 
 
--- a/tests/relay/test_streams_in_time.py
+++ b/tests/relay/test_streams_in_time.py
@@ -96,8 +96,13 @@
 
         # All come at once to a process that plays the engines too: with a short aim some are refused, and rightly so.
         patient = {**SETTINGS["classes"][0], "promise": 600_000_000}
-        async with platform({"limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": {"classes": [patient]}},
-                            r0=reads, w0=by_kind, w1=by_kind, w2=hangs) as p:
+        async with platform(
+            {"limits": {"cores": 1.0, "memory_mb": 128, "sockets": 512}, "settings": {"classes": [patient]}},
+            r0=reads,
+            w0=by_kind,
+            w1=by_kind,
+            w2=hangs,
+        ) as p:
             p.tell(w2="Terminating")
             await until(lambda: p.relay.members.revision == p.revision)
             slow = [ask_and_read_nothing(p, f"slow-{number}") for number in range(4)]
--- a/tests/relay_node.py
+++ b/tests/relay_node.py
@@ -62,13 +62,26 @@
 
 def told(agent: str, **changes: Any) -> str:
     """A settings file."""
-    return json.dumps({"name": "n0", "listen": "127.0.0.1:0", "discovery": agent, "seed": "1", "settings": SETTINGS,
-                       "limits": {"memory_mb": 128, "sockets": 256},
-                       "known": {"revision": 0, "complete": True, "members": []}, **changes})
+    return json.dumps(
+        {
+            "name": "n0",
+            "listen": "127.0.0.1:0",
+            "discovery": agent,
+            "seed": "1",
+            "settings": SETTINGS,
+            "limits": {"memory_mb": 128, "sockets": 256},
+            "known": {"revision": 0, "complete": True, "members": []},
+            **changes,
+        }
+    )
 
 
 async def spawn_node(
-    path: Path, settings: str, standard_error: int, shim: str = "", environment: Mapping[str, str] | None = None,
+    path: Path,
+    settings: str,
+    standard_error: int,
+    shim: str = "",
+    environment: Mapping[str, str] | None = None,
     descriptors: int = 0,
 ) -> asyncio.subprocess.Process:
     """A node's process with these settings, which may not serve yet. `standard_error`: a descriptor, PIPE or CLOSED; `shim`:
@@ -79,9 +92,13 @@
     limit = f"ulimit -n {descriptors}; " if descriptors else ""
     closed = standard_error == CLOSED
     return await asyncio.create_subprocess_exec(
-        "/bin/sh", "-c", limit + ("exec 2>&-; " if closed else "") + line,
-        stderr=asyncio.subprocess.DEVNULL if closed else standard_error, cwd=ROOT,
-        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(path.parent), **(environment or {})})
+        "/bin/sh",
+        "-c",
+        limit + ("exec 2>&-; " if closed else "") + line,
+        stderr=asyncio.subprocess.DEVNULL if closed else standard_error,
+        cwd=ROOT,
+        env={**os.environ, "RELAY_CONFIG": str(path), "PYTHONPATH": str(path.parent), **(environment or {})},
+    )
 
 
 async def start_node(agent: str, path: Path, descriptors: int = 0, **changes: Any) -> Node:
--- a/tests/relay_world.py
+++ b/tests/relay_world.py
@@ -18,20 +18,42 @@
 from tuliptrack.relay.config import RelayConfig, parse
 
 SETTINGS: dict[str, Any] = {
-    "classes": [{"name": "plain", "importance": 1.0, "promise": 1_000_000, "deadline": 5_000_000, "effect": "free",
-                 "stream": True}],
-    "discovery": "automatic", "failureDomains": ["z"], "hostTypes": ["reads", "writes", "both"], "granularity": 4_000,
-    "limits": {"cancel": True, "connIdle": 15_000_000, "connectTimeout": 250_000, "maxRetryAfter": 500_000,
-               "mostTries": 5, "openCap": 20_000, "retryAfter": True},
-    "obligations": {"answerSlack": 16_000, "cold": 12_000_000, "coldFrom": 0.25, "drainGrace": 500_000, "fall": 3_000_000,
-                    "fallMultiple": 2.5},
-    "projects": [{"name": "acme", "quotaPerS": 500.0, "share": 1.0}], "replicasOfMe": 1, "slotNo": 0,
+    "classes": [
+        {"name": "plain", "importance": 1.0, "promise": 1_000_000, "deadline": 5_000_000, "effect": "free", "stream": True}
+    ],
+    "discovery": "automatic",
+    "failureDomains": ["z"],
+    "hostTypes": ["reads", "writes", "both"],
+    "granularity": 4_000,
+    "limits": {
+        "cancel": True,
+        "connIdle": 15_000_000,
+        "connectTimeout": 250_000,
+        "maxRetryAfter": 500_000,
+        "mostTries": 5,
+        "openCap": 20_000,
+        "retryAfter": True,
+    },
+    "obligations": {
+        "answerSlack": 16_000,
+        "cold": 12_000_000,
+        "coldFrom": 0.25,
+        "drainGrace": 500_000,
+        "fall": 3_000_000,
+        "fallMultiple": 2.5,
+    },
+    "projects": [{"name": "acme", "quotaPerS": 500.0, "share": 1.0}],
+    "replicasOfMe": 1,
+    "slotNo": 0,
     "reporting": {"fields": ["inflight", "x0"], "how": "piggyback"},
-    "specifics": {"dutyByKind": ["read", "write", "both"], "letGoBy": 300_000, "resume": True, "writersRead": True}}
+    "specifics": {"dutyByKind": ["read", "write", "both"], "letGoBy": 300_000, "resume": True, "writersRead": True},
+}
 OPENING = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
 TOKENS = [b'data: {"choices":[{"index":0,"delta":{"content":"t%d"},"finish_reason":null}]}\n\n' % n for n in range(4)]
-LAST = [b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}\n\n',
-        b"data: [DONE]\n\n"]
+LAST = [
+    b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}\n\n',
+    b"data: [DONE]\n\n",
+]
 STREAM = b"".join(TOKENS + LAST)
 
 
@@ -165,8 +187,9 @@
         writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
         return
     body = b'{"cached_tokens":3}'
-    writer.write(b'HTTP/1.1 202 Accepted\r\nx-load-report: {"inflight":2,"x0":0.5}\r\ncontent-length: %d\r\n\r\n%b'
-                 % (len(body), body))
+    writer.write(
+        b'HTTP/1.1 202 Accepted\r\nx-load-report: {"inflight":2,"x0":0.5}\r\ncontent-length: %d\r\n\r\n%b' % (len(body), body)
+    )
 
 
 async def writes(one: Seen, writer: asyncio.StreamWriter) -> None:
@@ -196,9 +219,16 @@
 
 
 def request(call_id: str, body: bytes = b'{"stream":true}', budget: str = "4.8", **fields: str) -> bytes:
-    head = {"Host": "api", "X-Call-Id": call_id, "X-Call-Class": "plain", "X-Caller": "acme", "X-Route-Hash": "77",
-            "X-Budget": budget, "Content-Length": str(len(body)),
-            "X-Call-Info": "prefix=ab,prompt_len=9,prefix_len=4,max_out=20"}
+    head = {
+        "Host": "api",
+        "X-Call-Id": call_id,
+        "X-Call-Class": "plain",
+        "X-Caller": "acme",
+        "X-Route-Hash": "77",
+        "X-Budget": budget,
+        "Content-Length": str(len(body)),
+        "X-Call-Info": "prefix=ab,prompt_len=9,prefix_len=4,max_out=20",
+    }
     head |= {name.replace("_", "-"): value for name, value in fields.items()}
     lines = "".join(f"{name}: {value}\r\n" for name, value in head.items() if value)
     return b"POST /v1/chat/completions?a=1 HTTP/1.1\r\n" + lines.encode() + b"\r\n" + body
@@ -228,9 +258,16 @@
 
 def config(members: list[dict[str, Any]], discovery: str, **changes: Any) -> RelayConfig:
     settings = {**SETTINGS, **changes.pop("settings", {})}
-    told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f",
-            "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
-            "known": {"revision": 1, "complete": True, "members": members}, "settings": settings, **changes}
+    told = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": discovery,
+        "seed": "8c1f",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256},
+        "known": {"revision": 1, "complete": True, "members": members},
+        "settings": settings,
+        **changes,
+    }
     return parse(json.dumps(told).encode(), {})
 
 
@@ -247,9 +284,19 @@
 
     def members(self) -> list[dict[str, Any]]:
         kinds = {"r": "reads", "w": "writes", "m": "both"}
-        return [{"id": name, "host_port": one.address, "locality": "z", "flavor": kinds[name[0]], "cell": 1,
-                 "phase": self.phases.get(name, "Ready"), "size": 1.0, "up_since_ms": 0}
-                for name, one in self.engines.items()]
+        return [
+            {
+                "id": name,
+                "host_port": one.address,
+                "locality": "z",
+                "flavor": kinds[name[0]],
+                "cell": 1,
+                "phase": self.phases.get(name, "Ready"),
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            for name, one in self.engines.items()
+        ]
 
     def tell(self, **phases: str) -> None:
         self.phases |= phases
--- a/tests/rpc/test_core.py
+++ b/tests/rpc/test_core.py
@@ -22,16 +22,23 @@
 )
 from tuliptrack.rpc.status import Code, Status, decode_message, decode_timeout, encode_message, encode_timeout
 
-HEADERS = [(":method", "POST"), (":scheme", "http"), (":path", "/x.Y/Z"), (":authority", "a"), ("te", "trailers"),
-           ("content-type", "application/grpc")]
+HEADERS = [
+    (":method", "POST"),
+    (":scheme", "http"),
+    (":path", "/x.Y/Z"),
+    (":authority", "a"),
+    ("te", "trailers"),
+    ("content-type", "application/grpc"),
+]
 
 
 class Peer:
     """A bare h2 client, so that requests can be wrong in ways that our own client is not."""
 
     def __init__(self, limits: Limits | None = None) -> None:
-        self.h2 = h2.connection.H2Connection(H2Configuration(client_side=True, header_encoding="utf-8",
-                                                             validate_outbound_headers=False))
+        self.h2 = h2.connection.H2Connection(
+            H2Configuration(client_side=True, header_encoding="utf-8", validate_outbound_headers=False)
+        )
         self.h2.initiate_connection()
         self.core = Core(False, limits)
         self.seen: list[object] = []
@@ -62,14 +69,17 @@
         raise AssertionError(self.seen)
 
 
-@pytest.mark.parametrize(("headers", "status", "word"), [
-    ({"method": "GET"}, "405", ""),
-    ({"content_type": "text/plain"}, "415", ""),
-    ({"grpc_timeout": "12x"}, str(int(Code.INVALID_ARGUMENT)), "grpc-timeout"),
-    ({"grpc_timeout": "123456789S"}, str(int(Code.INVALID_ARGUMENT)), "grpc-timeout"),
-    ({"x_bin": "!!"}, str(int(Code.INVALID_ARGUMENT)), "x-bin"),
-    ({"grpc_encoding": "br"}, str(int(Code.UNIMPLEMENTED)), "br"),
-])
+@pytest.mark.parametrize(
+    ("headers", "status", "word"),
+    [
+        ({"method": "GET"}, "405", ""),
+        ({"content_type": "text/plain"}, "415", ""),
+        ({"grpc_timeout": "12x"}, str(int(Code.INVALID_ARGUMENT)), "grpc-timeout"),
+        ({"grpc_timeout": "123456789S"}, str(int(Code.INVALID_ARGUMENT)), "grpc-timeout"),
+        ({"x_bin": "!!"}, str(int(Code.INVALID_ARGUMENT)), "x-bin"),
+        ({"grpc_encoding": "br"}, str(int(Code.UNIMPLEMENTED)), "br"),
+    ],
+)
 def test_requests_that_are_wrong_get_their_status(headers: dict[str, str], status: str, word: str) -> None:
     peer = Peer()
     peer.ask(headers=headers)
@@ -83,14 +93,17 @@
     return bytes([flag]) + len(data).to_bytes(4, "big") + data
 
 
-@pytest.mark.parametrize(("data", "headers", "code"), [
-    (message(b"x" * 3000), {}, Code.RESOURCE_EXHAUSTED),
-    (message(zlib.compress(b"\0" * 5_000_000)), {"grpc_encoding": "deflate", "flag": "1"}, Code.RESOURCE_EXHAUSTED),
-    (message(b"no gzip"), {"grpc_encoding": "gzip", "flag": "1"}, Code.INTERNAL),
-    (message(zlib.compress(b"cut off here")[:-3]), {"grpc_encoding": "deflate", "flag": "1"}, Code.INTERNAL),
-    (message(b"x", 1), {}, Code.INTERNAL),
-    (message(b"x", 7), {"grpc_encoding": "gzip"}, Code.INTERNAL),
-])
+@pytest.mark.parametrize(
+    ("data", "headers", "code"),
+    [
+        (message(b"x" * 3000), {}, Code.RESOURCE_EXHAUSTED),
+        (message(zlib.compress(b"\0" * 5_000_000)), {"grpc_encoding": "deflate", "flag": "1"}, Code.RESOURCE_EXHAUSTED),
+        (message(b"no gzip"), {"grpc_encoding": "gzip", "flag": "1"}, Code.INTERNAL),
+        (message(zlib.compress(b"cut off here")[:-3]), {"grpc_encoding": "deflate", "flag": "1"}, Code.INTERNAL),
+        (message(b"x", 1), {}, Code.INTERNAL),
+        (message(b"x", 7), {"grpc_encoding": "gzip"}, Code.INTERNAL),
+    ],
+)
 def test_messages_that_are_wrong_end_their_call_and_no_other(data: bytes, headers: dict[str, str], code: Code) -> None:
     peer = Peer(Limits(max_message_bytes=2000))
     headers = dict(headers)
@@ -255,8 +268,9 @@
     assert [(e.stream, e.unprocessed, e.reset) for e in events if isinstance(e, CallEnded)] == [(one, False, True)]
 
 
-@pytest.mark.parametrize(("us", "text"), [(1, "1u"), (99_999_999, "99999999u"), (100_000_000, "100000m"),
-                                          (360_000_000_000_000, "6000000M")])
+@pytest.mark.parametrize(
+    ("us", "text"), [(1, "1u"), (99_999_999, "99999999u"), (100_000_000, "100000m"), (360_000_000_000_000, "6000000M")]
+)
 def test_timeouts_take_the_finest_unit_that_fits(us: int, text: str) -> None:
     assert encode_timeout(us) == text.encode()
     assert decode_timeout(text) == us
--- a/tests/rpc/test_core_fuzz.py
+++ b/tests/rpc/test_core_fuzz.py
@@ -12,16 +12,19 @@
 from tuliptrack.rpc.status import Code, Status
 
 LIMITS = Limits(max_message_bytes=50_000, stream_window=20_000, connection_window=100_000)
-OPS = st.lists(st.one_of(
-    st.tuples(st.just("start"), st.booleans()),
-    st.tuples(st.just("send"), st.integers(0, 9), st.binary(max_size=40), st.integers(0, 900)),
-    st.tuples(st.just("half"), st.integers(0, 9)),
-    st.tuples(st.just("reset"), st.integers(0, 9)),
-    st.tuples(st.just("reply"), st.integers(0, 9), st.integers(0, 30_000)),
-    st.tuples(st.just("finish"), st.integers(0, 9), st.sampled_from([Code.OK, Code.UNAVAILABLE])),
-    st.tuples(st.just("ping"), st.binary(min_size=8, max_size=8)),
-    st.tuples(st.just("drain"), st.just(0)),
-), max_size=30)
+OPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("start"), st.booleans()),
+        st.tuples(st.just("send"), st.integers(0, 9), st.binary(max_size=40), st.integers(0, 900)),
+        st.tuples(st.just("half"), st.integers(0, 9)),
+        st.tuples(st.just("reset"), st.integers(0, 9)),
+        st.tuples(st.just("reply"), st.integers(0, 9), st.integers(0, 30_000)),
+        st.tuples(st.just("finish"), st.integers(0, 9), st.sampled_from([Code.OK, Code.UNAVAILABLE])),
+        st.tuples(st.just("ping"), st.binary(min_size=8, max_size=8)),
+        st.tuples(st.just("drain"), st.just(0)),
+    ),
+    max_size=30,
+)
 
 
 def transcript(ops: list[tuple]) -> tuple[bytes, bytes, list[Event], list[Event]]:  # type: ignore[type-arg]
@@ -96,14 +99,17 @@
 
 
 @settings(max_examples=200, deadline=None, derandomize=True)
-@given(OPS, st.lists(st.tuples(st.integers(0, 1 << 20), st.binary(min_size=1, max_size=12)), min_size=1, max_size=8),
-       st.lists(st.integers(0, 1 << 20), max_size=12))
+@given(
+    OPS,
+    st.lists(st.tuples(st.integers(0, 1 << 20), st.binary(min_size=1, max_size=12)), min_size=1, max_size=8),
+    st.lists(st.integers(0, 1 << 20), max_size=12),
+)
 def test_damaged_bytes_end_calls_or_the_connection_and_never_raise(ops, damage, cuts) -> None:  # type: ignore[no-untyped-def]
     to_server, to_client, _, _ = transcript(ops)
     for client, data in ((False, bytearray(to_server)), (True, bytearray(to_client))):
         for place, new in damage:
             place %= len(data) + 1
-            data[place:place + len(new)] = new
+            data[place : place + len(new)] = new
         core = Core(client, LIMITS)
         if client:
             for _ in range(3):
--- a/tests/rpc/test_failing_calls.py
+++ b/tests/rpc/test_failing_calls.py
@@ -31,8 +31,9 @@
 @pytest.fixture
 def faults(monkeypatch: pytest.MonkeyPatch) -> Iterator[CallFaults]:
     """What fails; nothing yet."""
-    made = CallFaults(create=(), accept=(), connect=(), broken=(), close=(), shutdown=(), interrupts=False,
-                      random=random.Random(3))
+    made = CallFaults(
+        create=(), accept=(), connect=(), broken=(), close=(), shutdown=(), interrupts=False, random=random.Random(3)
+    )
     monkeypatch.setattr(FaultySocket, "faults", made)
     monkeypatch.setattr(socket, "socket", FaultySocket)
     monkeypatch.setattr(selectors, "DefaultSelector", FaultySelector)
@@ -99,9 +100,7 @@
     run(go)
 
 
-async def exchange_while(
-    pool: Pool, faults: CallFaults, call: str, number: int, seconds: float
-) -> tuple[How, bool, int]:
+async def exchange_while(pool: Pool, faults: CallFaults, call: str, number: int, seconds: float) -> tuple[How, bool, int]:
     """How an exchange ends whose connection can't be opened for so long, as this call fails; whether it was alone; tries."""
     setattr(faults, call, (number,))
     faults.share, faults.failed = 1.0, 0
@@ -161,9 +160,7 @@
 
 
 @pytest.mark.parametrize("number", [errno.EINTR, errno.EIO], ids=["EINTR", "EIO"])
-def test_a_close_that_fails_has_closed_all_the_same(
-    number: int, faults: CallFaults, caplog: pytest.LogCaptureFixture
-) -> None:
+def test_a_close_that_fails_has_closed_all_the_same(number: int, faults: CallFaults, caplog: pytest.LogCaptureFixture) -> None:
     async def go() -> None:
         server = await serve()
         pool = Pool(server.address, ClientOptions(), Connections(4))
--- a/tests/rpc/test_http1.py
+++ b/tests/rpc/test_http1.py
@@ -22,10 +22,12 @@
 from tuliptrack.rpc.http1_exchange import Exchange, How
 from tuliptrack.rpc.http1_pool import Connections, Pool
 
-REQUESTS = (b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello"
-            b"POST /b HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
-            b"GET /stream HTTP/1.1\r\nhost: x\r\n\r\n"
-            b"POST /c HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
+REQUESTS = (
+    b"POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 5\r\n\r\nhello"
+    b"POST /b HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"
+    b"GET /stream HTTP/1.1\r\nhost: x\r\n\r\n"
+    b"POST /c HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 
 def echo(call: HttpCall) -> None:
@@ -302,6 +304,7 @@
 
 def test_a_connection_with_a_request_that_was_not_read_yet_makes_no_room(monkeypatch: pytest.MonkeyPatch) -> None:
     """The request comes in the instant in which its connection, idle for longest, would be closed for a new one."""
+
     async def go() -> None:
         server = HttpServer(echo, early, HttpLimits(connections=2))
         await server.listen()
@@ -347,7 +350,7 @@
         while got.count(b"HTTP/1.1 200") < asks:
             got += await asyncio.wait_for(loop.sock_recv(sock, 65_536), 5)
         assert len(spares) == asks
-        assert all(spare is None for spare in spares[:asks - 8]), "requests were read: the connection stays"
+        assert all(spare is None for spare in spares[: asks - 8]), "requests were read: the connection stays"
         assert server._spare() is not None, "none is left: it may make room"
         sock.close()
         await server.stop()
@@ -357,6 +360,7 @@
 
 def test_nothing_is_sent_on_a_kept_connection_whose_peer_has_just_closed_it() -> None:
     """Its end has come, but the loop has not read it: what is sent there would end as a reset, which may have run."""
+
     async def go() -> None:
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/rpc/test_stock_peers.py
+++ b/tests/rpc/test_stock_peers.py
@@ -23,15 +23,17 @@
 
 
 def stub(channel: grpc.aio.Channel) -> Any:
-    return channel.unary_stream(METHOD, request_serializer=pb.GenerateRequest.SerializeToString,
-                                response_deserializer=pb.GenerateResponse.FromString)
+    return channel.unary_stream(
+        METHOD, request_serializer=pb.GenerateRequest.SerializeToString, response_deserializer=pb.GenerateResponse.FromString
+    )
 
 
 def test_the_stock_client_streams_from_a_node_and_finds_it_by_health_and_reflection() -> None:
     async def go() -> None:
         async with world() as w, grpc.aio.insecure_channel(w.address) as channel:
-            check = channel.unary_unary("/grpc.health.v1.Health/Check",
-                                        response_deserializer=health_pb2.HealthCheckResponse.FromString)
+            check = channel.unary_unary(
+                "/grpc.health.v1.Health/Check", response_deserializer=health_pb2.HealthCheckResponse.FromString
+            )
             for service, good in (("", True), ("tuliptrack.v1.Generation", True), ("no.Such", False)):
                 request = health_pb2.HealthCheckRequest(service=service).SerializeToString()
                 if good:
@@ -44,10 +46,13 @@
                 reflect = channel.stream_stream(
                     f"/grpc.reflection.{version}.ServerReflection/ServerReflectionInfo",
                     request_serializer=reflection_pb2.ServerReflectionRequest.SerializeToString,
-                    response_deserializer=reflection_pb2.ServerReflectionResponse.FromString)
-                asks = [reflection_pb2.ServerReflectionRequest(list_services=""),
-                        reflection_pb2.ServerReflectionRequest(file_containing_symbol="tuliptrack.v1.Generation"),
-                        reflection_pb2.ServerReflectionRequest(file_containing_symbol="no.Such")]
+                    response_deserializer=reflection_pb2.ServerReflectionResponse.FromString,
+                )
+                asks = [
+                    reflection_pb2.ServerReflectionRequest(list_services=""),
+                    reflection_pb2.ServerReflectionRequest(file_containing_symbol="tuliptrack.v1.Generation"),
+                    reflection_pb2.ServerReflectionRequest(file_containing_symbol="no.Such"),
+                ]
                 answers = [a async for a in reflect(iter(asks))]
                 names = [s.name for s in answers[0].list_services_response.service]
                 assert "tuliptrack.v1.Generation" in names
@@ -57,13 +62,16 @@
             for compression in (grpc.Compression.NoCompression, grpc.Compression.Gzip):
                 tokens = [t async for t in stub(channel)(request, timeout=8, compression=compression)]
                 assert tokens[-1].finish_reason == pb.STOP and [t.index for t in tokens] == list(range(len(tokens)))
-            for wrong, field in ((pb.GenerateRequest(request_class="huh", tenant="north", prompt="x"), "request_class"),
-                                 (pb.GenerateRequest(request_class="question", tenant="?", prompt="x"), "tenant"),
-                                 (pb.GenerateRequest(request_class="question", tenant="north"), "prompt"),
-                                 (pb.GenerateRequest(request_class="question", tenant="north", prompt="x",
-                                                     max_tokens=-1), "max_tokens"),
-                                 (pb.GenerateRequest(request_class="question", tenant="north", prompt="x",
-                                                     prompt_tokens=2**50), "prompt_tokens")):
+            for wrong, field in (
+                (pb.GenerateRequest(request_class="huh", tenant="north", prompt="x"), "request_class"),
+                (pb.GenerateRequest(request_class="question", tenant="?", prompt="x"), "tenant"),
+                (pb.GenerateRequest(request_class="question", tenant="north"), "prompt"),
+                (pb.GenerateRequest(request_class="question", tenant="north", prompt="x", max_tokens=-1), "max_tokens"),
+                (
+                    pb.GenerateRequest(request_class="question", tenant="north", prompt="x", prompt_tokens=2**50),
+                    "prompt_tokens",
+                ),
+            ):
                 with pytest.raises(grpc.aio.AioRpcError) as caught:
                     [t async for t in stub(channel)(wrong, timeout=8)]
                 assert caught.value.code() is grpc.StatusCode.INVALID_ARGUMENT and field in caught.value.details()
@@ -95,8 +103,9 @@
             for code in Code:
                 sent = (("x-a", "plain"), ("x-b-bin", b"\0\xfe" * 2000))
                 for tokens in (0, 2):  # trailers-only, and trailers behind messages
-                    call = stub(channel)(pb.GenerateRequest(prompt_tokens=int(code), max_tokens=tokens, prompt="p"),
-                                         metadata=sent, timeout=8)
+                    call = stub(channel)(
+                        pb.GenerateRequest(prompt_tokens=int(code), max_tokens=tokens, prompt="p"), metadata=sent, timeout=8
+                    )
                     try:
                         assert len([t async for t in call]) == tokens
                     except grpc.aio.AioRpcError as error:
@@ -174,8 +183,11 @@
             await asyncio.sleep(30)
 
         server = grpc.aio.server(compression=grpc.Compression.Gzip)
-        handlers = {"Echo": grpc.unary_stream_rpc_method_handler(echo), "Status": grpc.unary_unary_rpc_method_handler(status),
-                    "Sleep": grpc.unary_stream_rpc_method_handler(sleep)}
+        handlers = {
+            "Echo": grpc.unary_stream_rpc_method_handler(echo),
+            "Status": grpc.unary_unary_rpc_method_handler(status),
+            "Sleep": grpc.unary_stream_rpc_method_handler(sleep),
+        }
         server.add_generic_rpc_handlers((grpc.method_handlers_generic_handler("t.S", handlers),))
         address = f"127.0.0.1:{server.add_insecure_port('127.0.0.1:0')}"
         await server.start()
@@ -214,6 +226,7 @@
 
 def test_a_thousand_streams_on_one_connection() -> None:
     """Each is served, on a slow machine too: their class waits as long as it takes, so that none is refused for overload."""
+
     async def go() -> None:
         model = "slots: 600 queue: 600 memory_tokens: 100000000 read_per_s: 1e9 answer_least: 12 answer_most: 12"
         settings = """
@@ -238,6 +251,7 @@
 
 def test_pings_for_proofs_do_not_make_a_stock_server_end_the_connection() -> None:
     """It does after a few that come with no data between. Calls that wait long, one after another, ask for many proofs."""
+
     async def go() -> None:
         answer = asyncio.Event()
 
--- a/tests/sources/test_lists.py
+++ b/tests/sources/test_lists.py
@@ -29,12 +29,20 @@
     one = roster.take(first, 50_000_000, wall=DAY + 3_000_000)
     assert [s.started_at for s in one.change.servers] == [0, 47_000_000]
     # The same start told again, with the wall clock set back by an hour: the same time.
-    again = roster.take(pb.ServerList(version=2, servers=[entry(2, started_unix_us=DAY, state=pb.ServerEntry.DRAINING)],
-                                      kind=pb.ServerList.DELTA), 60_000_000, wall=DAY - 3_600_000_000)
+    again = roster.take(
+        pb.ServerList(
+            version=2, servers=[entry(2, started_unix_us=DAY, state=pb.ServerEntry.DRAINING)], kind=pb.ServerList.DELTA
+        ),
+        60_000_000,
+        wall=DAY - 3_600_000_000,
+    )
     assert (again.change.servers[0].started_at, again.change.servers[0].state) == (47_000_000, ServerState.DRAINING)
     # A later start under the same id is a new one, and never in the future.
-    third = roster.take(pb.ServerList(version=3, servers=[entry(2, started_unix_us=DAY + 9_000_000)],
-                                      kind=pb.ServerList.DELTA), 61_000_000, wall=DAY + 5_000_000)
+    third = roster.take(
+        pb.ServerList(version=3, servers=[entry(2, started_unix_us=DAY + 9_000_000)], kind=pb.ServerList.DELTA),
+        61_000_000,
+        wall=DAY + 5_000_000,
+    )
     assert third.change.servers[0].started_at == 61_000_000
     assert sorted(roster.held) == [1, 2]
     roster.take(pb.ServerList(version=4, kind=pb.ServerList.DELTA, servers=[entry(1, state=pb.ServerEntry.GONE)]), 62_000_000)
@@ -43,11 +51,19 @@
     assert failed.change.kind is ListKind.FAILED and sorted(roster.held) == [2]
 
 
-@pytest.mark.parametrize(("bad", "field"), [
-    ({"id": 0}, "servers[1].id"), ({"id": 1}, "servers[1].id"), ({"kind": "x"}, "servers[1].kind"),
-    ({"address": "x"}, "servers[1].address"), ({"address": "x:0"}, "servers[1].address"),
-    ({"weight": float("nan")}, "servers[1].weight"), ({"weight": -1.0}, "servers[1].weight"),
-    ({"started_unix_us": -5}, "servers[1].started_unix_us")])
+@pytest.mark.parametrize(
+    ("bad", "field"),
+    [
+        ({"id": 0}, "servers[1].id"),
+        ({"id": 1}, "servers[1].id"),
+        ({"kind": "x"}, "servers[1].kind"),
+        ({"address": "x"}, "servers[1].address"),
+        ({"address": "x:0"}, "servers[1].address"),
+        ({"weight": float("nan")}, "servers[1].weight"),
+        ({"weight": -1.0}, "servers[1].weight"),
+        ({"started_unix_us": -5}, "servers[1].started_unix_us"),
+    ],
+)
 def test_a_list_with_anything_wrong_is_turned_down_whole(bad: dict[str, object], field: str) -> None:
     roster = Roster(["r"])
     roster.take(pb.ServerList(version=1, servers=[entry(7)]), 1)
--- a/tests/store/test_billing_machine.py
+++ b/tests/store/test_billing_machine.py
@@ -45,8 +45,18 @@
         first = max(len(got) - back, 0) if len(got) < LENGTH else 0
         self.number += 1
         self.running[node][self.number] = Part(
-            f"n{node}-{self.lives[node]}", self.number, "a", f"w{work}", self.number, 100, 0, first, first, OPEN,
-            price=Price(0, 0, 1))
+            f"n{node}-{self.lives[node]}",
+            self.number,
+            "a",
+            f"w{work}",
+            self.number,
+            100,
+            0,
+            first,
+            first,
+            OPEN,
+            price=Price(0, 0, 1),
+        )
 
     def change(self, node: int, part: Part, **fields: Any) -> Part:
         made: Part = replace(part, **fields)
--- a/tests/store/test_ledger.py
+++ b/tests/store/test_ledger.py
@@ -127,14 +127,19 @@
 
     def double(txn: lmdb.Transaction, db: Any) -> None:
         from tuliptrack.proto import billing_pb2
+
         value = bytes(txn.get((6).to_bytes(8, "big"), b"", db))
         batch = billing_pb2.BillBatch.FromString(value[:-8])
         batch.sequence, batch.before = 7, digest_of(value[:-8])
         body = batch.SerializeToString()
         txn.put((7).to_bytes(8, "big"), body + digest_of(body).to_bytes(8, "big"), db=db)
 
-    for name, act, sequence, words in (("good", lambda txn, db: None, 0, ""), ("flip", flip, 3, "digest"),
-                                       ("drop", drop, 4, "missing"), ("double", double, 7, "stands twice")):
+    for name, act, sequence, words in (
+        ("good", lambda txn, db: None, 0, ""),
+        ("flip", flip, 3, "digest"),
+        ("drop", drop, 4, "missing"),
+        ("double", double, 7, "stands twice"),
+    ):
         filled(tmp_path / name).close()
         change(tmp_path / name, act)
         count, problems = verify(str(tmp_path / name))
@@ -295,7 +300,8 @@
 
 
 def test_a_file_that_can_not_be_opened_anew_yet_is_tried_again_at_the_next_commit(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     ledger = filled(tmp_path, batches=1, size=2)
     ledger.env = cast(Any, FailingRoot(ledger.env, False))
     ledger.add(part(10))
--- a/tests/store/test_sealed.py
+++ b/tests/store/test_sealed.py
@@ -54,7 +54,7 @@
             sealed.read(path)
     for _ in range(50):
         at = random.randrange(len(whole))
-        path.write_bytes(whole[:at] + bytes([whole[at] ^ (1 << random.randrange(8))]) + whole[at + 1:])
+        path.write_bytes(whole[:at] + bytes([whole[at] ^ (1 << random.randrange(8))]) + whole[at + 1 :])
         with pytest.raises(sealed.SealedError, match="digest"):
             sealed.read(path)
 
@@ -79,7 +79,8 @@
 @pytest.mark.parametrize("number", [errno.ENOSPC, errno.EIO])
 @pytest.mark.parametrize("step", ["the file's sync", "the move", "the folder's sync"])
 def test_a_disk_that_fails_at_any_step_leaves_a_whole_value_and_the_next_write_is_made_anew(
-        step: str, number: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    step: str, number: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     path = tmp_path / "state"
     sealed.write(path, b"one")
     sync, move = os.fsync, os.replace
--- a/tests/structures/test_indexes.py
+++ b/tests/structures/test_indexes.py
@@ -41,10 +41,15 @@
 
 
 @FAST
-@given(st.lists(st.tuples(KEYS, st.sampled_from("abc"), VALUES, st.booleans()), max_size=40),
-       st.sets(KEYS), VALUES, st.sets(st.sampled_from("abc")))
+@given(
+    st.lists(st.tuples(KEYS, st.sampled_from("abc"), VALUES, st.booleans()), max_size=40),
+    st.sets(KEYS),
+    VALUES,
+    st.sets(st.sampled_from("abc")),
+)
 def test_grouped_values_are_counted_and_their_median_found_with_some_left_out(
-        steps: list[tuple[int, str, float, bool]], left_out: set[int], bound: float, wanted: set[str]) -> None:
+    steps: list[tuple[int, str, float, bool]], left_out: set[int], bound: float, wanted: set[str]
+) -> None:
     grouped: GroupedValues[str] = GroupedValues()
     plain: dict[int, tuple[str, float]] = {}
     for key, group, value, removed in steps:
--- a/tests/structures/test_structures.py
+++ b/tests/structures/test_structures.py
@@ -12,11 +12,14 @@
 from tuliptrack.structures.sketch import Sketch
 from tuliptrack.structures.wheel import Wheel
 
-STEPS = st.lists(st.one_of(
-    st.tuples(st.just("set"), st.integers(0, 12), st.one_of(*(st.integers(0, most) for most in (5_000, 10**9, 10**15)))),
-    st.tuples(st.just("drop"), st.integers(0, 12), st.just(0)),
-    st.tuples(st.just("go"), st.just(0), st.one_of(st.integers(0, 3_000), st.integers(0, 10**8), st.integers(0, 10**12)))),
-    max_size=60)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("set"), st.integers(0, 12), st.one_of(*(st.integers(0, most) for most in (5_000, 10**9, 10**15)))),
+        st.tuples(st.just("drop"), st.integers(0, 12), st.just(0)),
+        st.tuples(st.just("go"), st.just(0), st.one_of(st.integers(0, 3_000), st.integers(0, 10**8), st.integers(0, 10**12))),
+    ),
+    max_size=60,
+)
 
 
 @examples(max_examples=400, deadline=None, derandomize=True)
--- a/tests/test_bills_path.py
+++ b/tests/test_bills_path.py
@@ -64,8 +64,9 @@
             for n, one in enumerate(asked):
                 if one.end.status.code is Code.ABORTED:
                     point = pb.ResumePoint(next_index=len(one.tokens), text="".join(t.text for t in one.tokens))
-                    again = w.ask(tenant=("north", "south")[n % 2], prompt=f"b{n} what?", work=f"w{n}", resume=point,
-                                  repeat=True)
+                    again = w.ask(
+                        tenant=("north", "south")[n % 2], prompt=f"b{n} what?", work=f"w{n}", resume=point, repeat=True
+                    )
                     assert (await again.wait()).status.code is Code.OK
                     again_asked.add(f"w{n}")
             # And one that was served is asked for once more.
@@ -122,10 +123,10 @@
     assert bill.work == "long" and bill.written >= 20 and not bill.whole
 
 
-BUDGET = '''tenant { name: "small" share: 0 quota_per_s: 100 budget { window_ms: 1000 tokens: 2000 turn_tokens: 700 } }
+BUDGET = """tenant { name: "small" share: 0 quota_per_s: 100 budget { window_ms: 1000 tokens: 2000 turn_tokens: 700 } }
 tenant { name: "rich" share: 0 quota_per_s: 100 }
 request_class { name: "strict" aim_ms: 1200 deadline_ms: 5000 when_over: REFUSE }
-billing { lend: false kept_weight: 0 written_weight: 1 }'''
+billing { lend: false kept_weight: 0 written_weight: 1 }"""
 
 
 def test_over_budget_is_refused_with_the_true_time_or_served_at_a_lower_worth(capsys: pytest.CaptureFixture[str]) -> None:
@@ -180,9 +181,12 @@
 
 
 def test_a_days_use_counts_on_after_a_restart(tmp_path: Path) -> None:
-    day = billing(tmp_path / "l", "spread: 1") + """tenant { name: "small" share: 0 quota_per_s: 100
+    day = (
+        billing(tmp_path / "l", "spread: 1")
+        + """tenant { name: "small" share: 0 quota_per_s: 100
       budget { window_ms: 86400000 tokens: 2600 } }
     request_class { name: "strict" aim_ms: 1200 deadline_ms: 5000 when_over: REFUSE }"""
+    )
 
     async def go() -> None:
         async with world(settings=day) as w:
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -33,8 +33,15 @@
     assert {str(file.relative_to(PACKAGE)): lines for file in files if (lines := readings(file.read_text()))} == {}
 
 
-@pytest.mark.parametrize("source", [
-    "import time\nx = time.time()", "import time\nx = time.time_ns()", "from time import time", "import datetime\n"
-    "x = datetime.datetime.now()", "from datetime import datetime\nx = datetime.now()"])
+@pytest.mark.parametrize(
+    "source",
+    [
+        "import time\nx = time.time()",
+        "import time\nx = time.time_ns()",
+        "from time import time",
+        "import datetime\nx = datetime.datetime.now()",
+        "from datetime import datetime\nx = datetime.now()",
+    ],
+)
 def test_a_reading_is_found(source: str) -> None:
     assert readings(source)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -57,8 +57,9 @@
 
     @property
     def fleet(self) -> list[Server]:
-        return [server(i + 1, kind, cell=i % 5, started_at=START if i + 1 in self.cold else 0)
-                for i, kind in enumerate(self.kinds)]
+        return [
+            server(i + 1, kind, cell=i % 5, started_at=START if i + 1 in self.cold else 0) for i, kind in enumerate(self.kinds)
+        ]
 
     @property
     def young(self) -> list[Server]:
@@ -88,12 +89,26 @@
     settings tell, where there are not that many; `late`: seconds within which the list tells each node of the start; `pace`:
     microseconds to a read's end, to a first token and to an answer's end."""
 
-    def __init__(self, nodes: int, rate: float, of: Deployment = USUAL, seed: int = 0, replicas: int = 0,
-                 uneven: bool = False, late: float = 0.0, pace: tuple[int, int, int] = (150 * MS, 100 * MS, 2 * S)) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        rate: float,
+        of: Deployment = USUAL,
+        seed: int = 0,
+        replicas: int = 0,
+        uneven: bool = False,
+        late: float = 0.0,
+        pace: tuple[int, int, int] = (150 * MS, 100 * MS, 2 * S),
+    ) -> None:
         self.of, self.pace = of, pace
         self.settings = settings(
-            replicas=replicas or nodes, cold_for=of.cold_for, cold_from=of.cold_from, fall_multiple=of.multiple,
-            fall_window=of.window, tenants=(Tenant("a", 0.7, 0.7 * of.quota), Tenant("b", 0.3, 0.3 * of.quota)))
+            replicas=replicas or nodes,
+            cold_for=of.cold_for,
+            cold_from=of.cold_from,
+            fall_multiple=of.multiple,
+            fall_window=of.window,
+            tenants=(Tenant("a", 0.7, 0.7 * of.quota), Tenant("b", 0.3, 0.3 * of.quota)),
+        )
         self.random = Random(nodes + 1000 * seed)
         self.weights = [self.random.expovariate(1.0) ** 2 if uneven else 1.0 for _ in range(nodes)]
         self.heavy, self.full = MIX, False
@@ -143,9 +158,17 @@
         node.now = self.now
         number = node.ids + 1
         self.classes[number] = cls
-        self.carry_out(slot, node.ask(
-            cls=cls, prefix=self.random.randrange(1, 6), session=self.random.getrandbits(40),
-            prompt_tokens=800.0 + 400 * size, prefix_tokens=800.0, max_tokens=200.0 * size)[1])
+        self.carry_out(
+            slot,
+            node.ask(
+                cls=cls,
+                prefix=self.random.randrange(1, 6),
+                session=self.random.getrandbits(40),
+                prompt_tokens=800.0 + 400 * size,
+                prefix_tokens=800.0,
+                max_tokens=200.0 * size,
+            )[1],
+        )
 
     def carry_out(self, slot: int, said: list[Action]) -> None:
         node = self.nodes[slot]
@@ -170,6 +193,7 @@
             if self.nodes[slot] is node:  # a node that died hears nothing more
                 node.now = self.now
                 self.carry_out(slot, node.tell(event))
+
         self.at(self.now + after, come)
 
     def run(self) -> Service:
@@ -349,7 +373,8 @@
 @pytest.mark.parametrize("nodes", [1, 2, 20, 30, 200])
 @pytest.mark.parametrize("loosened", ["", "a slot for two", "a turn for two"])
 def test_a_flood_after_a_lull_finds_the_turns_argued_and_more_only_where_they_are_loosened(
-        loosened: str, nodes: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    loosened: str, nodes: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
     if loosened == "a turn for two":
         monkeypatch.setattr(brain, "COLD_SHARE", 2 / 3)
     service = large(2 * nodes, replicas=nodes) if loosened == "a slot for two" else large(nodes)
--- a/tests/test_dragging.py
+++ b/tests/test_dragging.py
@@ -33,7 +33,7 @@
             writer = only(Send, w.end(request, reader, Status.READ, after=MS)).server
             w.start(request, writer, after=MS)
             self.begun[request] = (writer, w.now + int(LENGTH * slow.get(writer, 1.0)))
-            for action in w.said[self.heard:]:
+            for action in w.said[self.heard :]:
                 if isinstance(action, Send):
                     sent[action.server] = sent.get(action.server, 0) + 1
                 elif isinstance(action, HandBack):
--- a/tests/test_full_path.py
+++ b/tests/test_full_path.py
@@ -64,8 +64,10 @@
 
 def test_a_slow_client_stops_its_own_stream_and_no_other_on_the_same_connection() -> None:
     async def go() -> None:
-        async with world(model="answer_least: 20000 answer_most: 20000 step_ms: 0.2 per_answer_ms: 0", settings=(
-                "limits { answer_bytes: 4096 }")) as w:
+        async with world(
+            model="answer_least: 20000 answer_most: 20000 step_ms: 0.2 per_answer_ms: 0",
+            settings=("limits { answer_bytes: 4096 }"),
+        ) as w:
             slow = w.ask(timeout=None)
             await until(lambda: slow.tokens)
             assert slow.call
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -195,10 +195,16 @@
     assert list(server.calls) == [two]
 
 
-@pytest.mark.parametrize("garbage", [
-    b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + b"\0" * 64,
-    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 100,
-    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0" + b"\0\0\4\0\0\0\0\0\1gggg", b""])
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" + b"\0" * 64,
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\xff" * 100,
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + b"\0\0\0\4\0\0\0\0\0" + b"\0\0\4\0\0\0\0\0\1gggg",
+        b"",
+    ],
+)
 def test_broken_http2_ends_its_own_connection_and_disturbs_no_other(garbage: bytes) -> None:
     async def go() -> None:
         async with world("r0 w0", model=LONG) as w:
@@ -274,8 +280,9 @@
             for name in ("w0", "w1"):
                 w.engines[name].apply(lab_pb2.Trouble(pause_ms=5000))
             await until(lambda: sum(r.state is State.WRITING for r in w.node.table.open.values()) >= 1)
-            writing = {r.ask.prompt for r in w.node.table.open.values()
-                       if r.state is State.WRITING and r.ask.request_class == "order"}
+            writing = {
+                r.ask.prompt for r in w.node.table.open.values() if r.state is State.WRITING and r.ask.request_class == "order"
+            }
             await w.node.stop(0.1)
             for one in doubtful:  # What may have run is not called harmless.
                 assert (await one.wait()).status.code is (Code.UNKNOWN if one.prompt in writing else Code.UNAVAILABLE)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -18,8 +18,9 @@
     (folder / "test_some.py").write_text(tests)
     (folder / "pytest.ini").write_text("[pytest]\n")
     (folder / "KNOWN-RED.txt").write_text(known)
-    done = subprocess.run([sys.executable, "-m", "pytest", "-q", "-n", "2", "-p", "no:cacheprovider"], cwd=folder,
-                          capture_output=True, text=True)
+    done = subprocess.run(
+        [sys.executable, "-m", "pytest", "-q", "-n", "2", "-p", "no:cacheprovider"], cwd=folder, capture_output=True, text=True
+    )
     return done.returncode, done.stdout + done.stderr
 
 
@@ -32,11 +33,18 @@
     assert code == 0 and "KNOWN RED" not in said
 
 
-@pytest.mark.parametrize("known", [
-    "test_some.py::test_red | the moon is full\n", "test_some.py::test_red |  | 39\n", "test_some.py::test_gone | moon | 39\n",
-    "test_none.py::test_red | moon | 39\n", "test_some.py::test_red | moon | 39\n" * 2,
-    "".join(f"test_some.py::test_{n} | moon | 39\n" for n in range(4))],
-    ids=["no issue", "no cause", "no such test", "no such file", "twice", "four lines"])
+@pytest.mark.parametrize(
+    "known",
+    [
+        "test_some.py::test_red | the moon is full\n",
+        "test_some.py::test_red |  | 39\n",
+        "test_some.py::test_gone | moon | 39\n",
+        "test_none.py::test_red | moon | 39\n",
+        "test_some.py::test_red | moon | 39\n" * 2,
+        "".join(f"test_some.py::test_{n} | moon | 39\n" for n in range(4)),
+    ],
+    ids=["no issue", "no cause", "no such test", "no such file", "twice", "four lines"],
+)
 def test_a_list_that_cant_be_used_fails_the_run(tmp_path: Path, known: str) -> None:
     code, said = play(tmp_path, known, TESTS.replace("1 == 2", "2 == 2"))
     assert code not in (0, 5) and "KNOWN-RED.txt" in said
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -59,8 +59,15 @@
 
 
 def test_a_turn_at_a_cold_reader_is_taken_rather_than_refusing() -> None:
-    w = world([server(1, READ), server(2, WRITE)], replicas=1, cold_for=12 * S, cold_from=0.25, fall_multiple=2.5,
-              fall_window=3 * S, report_fields=FIELDS)
+    w = world(
+        [server(1, READ), server(2, WRITE)],
+        replicas=1,
+        cold_for=12 * S,
+        cold_from=0.25,
+        fall_multiple=2.5,
+        fall_window=3 * S,
+        report_fields=FIELDS,
+    )
     w.router.unseen = 1 - 1 / NODES
     for _ in range(8):
         number, said = w.ask(cls=1, after=100 * MS)
--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -14,8 +14,12 @@
 
 
 def test_policy_names_every_module_that_decides_and_the_first_its_interface() -> None:
-    modules = [path for folder in ("decisions", "state") for path in (ROOT / "tuliptrack" / folder).glob("*.py")
-               if path.name != "__init__.py"]
+    modules = [
+        path
+        for folder in ("decisions", "state")
+        for path in (ROOT / "tuliptrack" / folder).glob("*.py")
+        if path.name != "__init__.py"
+    ]
     assert len(modules) > 10 and sorted(POLICY) == sorted([MODULE, *modules])
     assert "interface.py" in "\n".join(MODULE.read_text().splitlines()[:5])
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,8 +80,10 @@
     only(Send, w.end(number, only(Send, said).server, status))
 
 
-@pytest.mark.parametrize(("effect", "scope", "answer"), [
-    (Effect.SAFE, KeyScope.ALL, Send), (Effect.KEYED, KeyScope.ALL, Send), (Effect.UNSAFE, KeyScope.ALL, Fail)])
+@pytest.mark.parametrize(
+    ("effect", "scope", "answer"),
+    [(Effect.SAFE, KeyScope.ALL, Send), (Effect.KEYED, KeyScope.ALL, Send), (Effect.UNSAFE, KeyScope.ALL, Fail)],
+)
 @pytest.mark.parametrize("after", [1 * S, 4 * S])
 def test_rule_2_a_read_that_was_given_up_may_yet_run(effect: Effect, scope: KeyScope, answer: type, after: int) -> None:
     """An engine that hangs finds the whole request in its buffer when it goes on, whatever became of the connection."""
@@ -109,12 +111,18 @@
             w.end(number, only(Send, said).server, Status.OK, over=True)
 
 
-@pytest.mark.parametrize(("effect", "after", "again"), [
-    (Effect.SAFE, 3_100 * MS, True), (Effect.KEYED, 2_000 * MS, True), (Effect.KEYED, 3_100 * MS, False),
-    (Effect.UNSAFE, 10 * MS, False),
-])
+@pytest.mark.parametrize(
+    ("effect", "after", "again"),
+    [
+        (Effect.SAFE, 3_100 * MS, True),
+        (Effect.KEYED, 2_000 * MS, True),
+        (Effect.KEYED, 3_100 * MS, False),
+        (Effect.UNSAFE, 10 * MS, False),
+    ],
+)
 def test_rule_2_what_may_have_run_is_not_read_anew_where_it_may_not_be_sent_again(
-        effect: Effect, after: int, again: bool) -> None:
+    effect: Effect, after: int, again: bool
+) -> None:
     """Its state went with the attempt at a writer, so that only a reader could be next."""
     w = world(effect=effect)
     number, at = to_writer(w)
--- a/tests/test_rules_on_sockets.py
+++ b/tests/test_rules_on_sockets.py
@@ -26,16 +26,18 @@
 
 def day(per_s: float = 25, seconds: float = 2.0, **load: Any) -> lab_pb2.Scenario:
     scenario = lab_pb2.Scenario(length_ms=seconds * 1000)
-    scenario.load.add(**{"request_class": "question", "tenant": "north", "per_s": per_s, "retries": 1, "deadline_ms": 1500,
-                         **load})
+    scenario.load.add(
+        **{"request_class": "question", "tenant": "north", "per_s": per_s, "retries": 1, "deadline_ms": 1500, **load}
+    )
     return scenario
 
 
 async def play(w: World, scenario: lab_pb2.Scenario, trouble: Trouble) -> dict[str, Any]:
     """Clients and a trouble against the node of this world; the judge's verdict."""
     config: NodeConfig = w.node.config
-    told: list[dict[str, Any]] = [{"t": now_us(), "what": "entry", "id": str(n), "engine": name}
-                                  for n, name in enumerate(w.engines, 1)]
+    told: list[dict[str, Any]] = [
+        {"t": now_us(), "what": "entry", "id": str(n), "engine": name} for n, name in enumerate(w.engines, 1)
+    ]
     w.feed.note = lambda what, **facts: told.append({"t": now_us(), "what": what, **facts})
     life = Life("node-0", w.node.instance, now_us() - 1)
     classes = {c.name: c for c in config.settings.classes}
@@ -132,18 +134,22 @@
 TURNS = "routing { cold_for_ms: 4000 cold_from: 0.1 fall_window_ms: 500 }"
 
 
-@pytest.mark.parametrize(("rule", "trouble", "guard", "load", "model", "settings"), [
-    (1, lost_answers, no_timeouts, {}, "", ""),
-    (1, lost_answers, answers_dropped, {}, "", ""),
-    (2, silent_reader, timed_out_calls_go_on, {"deadline_ms": 4000}, "", ""),
-    (3, drain, drains_not_told, {}, "", ""),
-    (4, cold_start, cold_counts_as_warm, {"per_s": 60.0}, COLD, TURNS),  # two writers do 20 a second, warm
-    (5, leavers, releases_dropped, {"leave": 1.0, "leave_within_ms": 600}, "", ""),
-    (6, drain, tokens_not_counted, {}, "", ""),
-], ids=["1-times-out", "1-answers", "2", "3", "4", "5", "6"])
+@pytest.mark.parametrize(
+    ("rule", "trouble", "guard", "load", "model", "settings"),
+    [
+        (1, lost_answers, no_timeouts, {}, "", ""),
+        (1, lost_answers, answers_dropped, {}, "", ""),
+        (2, silent_reader, timed_out_calls_go_on, {"deadline_ms": 4000}, "", ""),
+        (3, drain, drains_not_told, {}, "", ""),
+        (4, cold_start, cold_counts_as_warm, {"per_s": 60.0}, COLD, TURNS),  # two writers do 20 a second, warm
+        (5, leavers, releases_dropped, {"leave": 1.0, "leave_within_ms": 600}, "", ""),
+        (6, drain, tokens_not_counted, {}, "", ""),
+    ],
+    ids=["1-times-out", "1-answers", "2", "3", "4", "5", "6"],
+)
 def test_the_rule_is_kept_and_breaks_without_its_guard(
-        rule: int, trouble: Trouble, guard: Break, load: dict[str, Any], model: str, settings: str,
-        monkeypatch: pytest.MonkeyPatch) -> None:
+    rule: int, trouble: Trouble, guard: Break, load: dict[str, Any], model: str, settings: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
     verdicts: list[dict[str, Any]] = []
 
     async def go(broken: bool) -> None:
--- a/tests/test_same_decisions.py
+++ b/tests/test_same_decisions.py
@@ -73,13 +73,31 @@
 
     def settings(self) -> Settings:
         """Of both routers."""
-        cls = RequestClass("plain", 1.0, 500 * MS, 3 * S, aim_per_1000_tokens=20_000.0, token_aim=60_000.0,
-                           effect=self.effect, key_scope=self.scope, dedup_window=2 * S)
-        zoned = {"zone_budgets": (ZoneBudget(1e6, 1e7, 1e5),), "prompt_bytes": 6.0, "state_bytes": 16.0,
-                 "answer_bytes": 24.0} if self.budget else {}
-        return replace(settings(), replicas=self.replicas, classes=(cls, replace(cls, name="dear", worth=3.0)),
-                       tenants=(Tenant("a", 0.9, 20.0 * self.engines), Tenant("b", 0.1, 2.0)), may_resume=True,
-                       report_fields=("in_flight", "memory_share", "tokens_waiting_k"), **zoned)  # type: ignore[arg-type]
+        cls = RequestClass(
+            "plain",
+            1.0,
+            500 * MS,
+            3 * S,
+            aim_per_1000_tokens=20_000.0,
+            token_aim=60_000.0,
+            effect=self.effect,
+            key_scope=self.scope,
+            dedup_window=2 * S,
+        )
+        zoned = (
+            {"zone_budgets": (ZoneBudget(1e6, 1e7, 1e5),), "prompt_bytes": 6.0, "state_bytes": 16.0, "answer_bytes": 24.0}
+            if self.budget
+            else {}
+        )
+        return replace(
+            settings(),
+            replicas=self.replicas,
+            classes=(cls, replace(cls, name="dear", worth=3.0)),
+            tenants=(Tenant("a", 0.9, 20.0 * self.engines), Tenant("b", 0.1, 2.0)),
+            may_resume=True,
+            report_fields=("in_flight", "memory_share", "tokens_waiting_k"),
+            **zoned,  # type: ignore[arg-type]
+        )
 
 
 class Pair:
@@ -104,8 +122,13 @@
         """A server of the case, ready and warm."""
         chance = Random(f"{self.case.seed} {number}")
         kind = BOTH if chance.random() < self.case.mixed else READ if number % 3 == 0 else WRITE
-        made = Server(number, kind, weight=chance.choice(self.case.weights), cell=chance.randrange(self.case.cells),
-                      zone=chance.randrange(self.case.zones))
+        made = Server(
+            number,
+            kind,
+            weight=chance.choice(self.case.weights),
+            cell=chance.randrange(self.case.cells),
+            zone=chance.randrange(self.case.zones),
+        )
         return replace(made, **changes)  # type: ignore[arg-type]
 
     def tell(self, *events: Event) -> list[Action]:
@@ -163,9 +186,20 @@
         """A request comes; some clients leave soon."""
         chance, number = self.random, next(self.ids)
         tokens = 200.0 + chance.expovariate(1 / 2_000)
-        self.tell(Request(number, int(chance.random() < 0.3), int(chance.uniform(0.5, 3) * S), tokens, 0.8 * tokens, 300.0,
-                          chance.getrandbits(40), chance.choice((0, 1, 2, 3, chance.getrandbits(20))),
-                          int(chance.random() < 0.2), resumed=chance.random() < 0.05))
+        self.tell(
+            Request(
+                number,
+                int(chance.random() < 0.3),
+                int(chance.uniform(0.5, 3) * S),
+                tokens,
+                0.8 * tokens,
+                300.0,
+                chance.getrandbits(40),
+                chance.choice((0, 1, 2, 3, chance.getrandbits(20))),
+                int(chance.random() < 0.2),
+                resumed=chance.random() < 0.05,
+            )
+        )
         if chance.random() < 0.1:
             self.at(chance.random() * S, ClientGone(number))
 
@@ -191,8 +225,11 @@
         chance = self.random
         if known.state is not ServerState.READY:
             return replace(known, state=ServerState.READY, started_at=self.now - chance.randrange(S))
-        return replace(known, state=chance.choice((ServerState.DRAINING, ServerState.GONE, ServerState.READY)),
-                       weight=chance.choice(self.case.weights))
+        return replace(
+            known,
+            state=chance.choice((ServerState.DRAINING, ServerState.GONE, ServerState.READY)),
+            weight=chance.choice(self.case.weights),
+        )
 
     def _list(self, servers: list[Server]) -> None:
         self.servers |= {server.id: server for server in servers}
@@ -207,8 +244,9 @@
         elif self.random.random() < 0.12:
             self.change()
         else:
-            self.now = min(self.now + int(self.random.expovariate(1 / (30 * MS))),
-                           self.queue[0][0] if self.queue else self.now + S)
+            self.now = min(
+                self.now + int(self.random.expovariate(1 / (30 * MS))), self.queue[0][0] if self.queue else self.now + S
+            )
             self.ask()
 
     def play(self, steps: int) -> Pair:
@@ -220,11 +258,21 @@
 
 
 CASES = st.builds(
-    Case, seed=st.integers(0, 2**32), replicas=st.sampled_from((2, 20, 350)), engines=st.sampled_from((12, 40, 150, 400)),
-    zones=st.sampled_from((1, 3)), cells=st.sampled_from((1, 4, 30)), mixed=st.sampled_from((0.0, 0.0, 0.3, 1.0)),
-    weights=st.sampled_from(((1.0,), (0.5, 1.0, 2.0), (0.3, 1.0, 1.7))), effect=st.sampled_from(Effect),
-    scope=st.sampled_from(KeyScope), budget=st.booleans(), trouble=st.sampled_from((0.0, 0.05, 0.4)),
-    slow=st.sampled_from((1.0, 8.0, 40.0)), memory=st.sampled_from((0.0, 0.3, 1.0)))
+    Case,
+    seed=st.integers(0, 2**32),
+    replicas=st.sampled_from((2, 20, 350)),
+    engines=st.sampled_from((12, 40, 150, 400)),
+    zones=st.sampled_from((1, 3)),
+    cells=st.sampled_from((1, 4, 30)),
+    mixed=st.sampled_from((0.0, 0.0, 0.3, 1.0)),
+    weights=st.sampled_from(((1.0,), (0.5, 1.0, 2.0), (0.3, 1.0, 1.7))),
+    effect=st.sampled_from(Effect),
+    scope=st.sampled_from(KeyScope),
+    budget=st.booleans(),
+    trouble=st.sampled_from((0.0, 0.05, 0.4)),
+    slow=st.sampled_from((1.0, 8.0, 40.0)),
+    memory=st.sampled_from((0.0, 0.3, 1.0)),
+)
 
 
 @examples(max_examples=60, deadline=None, derandomize=True, suppress_health_check=[HealthCheck.too_slow])
@@ -233,9 +281,16 @@
     assert Pair(case).play(260).compared > 150
 
 
-@pytest.mark.parametrize("case", [
-    Case(1, engines=1_000), Case(2, engines=1_000, trouble=0.4), Case(3, engines=1_000, slow=40.0, memory=1.0),
-    Case(4, engines=1_000, mixed=0.4, weights=(0.3, 1.0, 1.7)), Case(5, engines=1_000, zones=8, budget=True, mixed=0.2)])
+@pytest.mark.parametrize(
+    "case",
+    [
+        Case(1, engines=1_000),
+        Case(2, engines=1_000, trouble=0.4),
+        Case(3, engines=1_000, slow=40.0, memory=1.0),
+        Case(4, engines=1_000, mixed=0.4, weights=(0.3, 1.0, 1.7)),
+        Case(5, engines=1_000, zones=8, budget=True, mixed=0.2),
+    ],
+)
 def test_a_thousand_engines_are_decided_alike(case: Case) -> None:
     pair = Pair(case).play(500)
     assert pair.compared > 300
@@ -335,5 +390,3 @@
     with pytest.raises((AssertionError, LookupError)):  # It decides otherwise, or finds nothing to decide by.
         for seed in range(8):
             Pair(Case(seed, engines=40, mixed=0.3, trouble=0.3, slow=20.0, memory=1.0)).play(400)
-
-
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -67,13 +67,26 @@
     homes: dict[tuple[float, float], int] = {}
     for grant in (0.0, 100_000.0, 300_000.0):  # microseconds for a thousand tokens
         for tokens in (300.0, 3_000.0):
-            asking = [world(fleet(readers=60, writers=5), seed=seed, replicas=NODES,
-                            classes=(replace(cls, aim_per_1000_tokens=grant),)) for seed in range(1, 31)]
-            homes[grant, tokens] = len({only(Send, w.ask(prefix=7, session=number, prompt_tokens=5_000.0,
-                                                         prefix_tokens=tokens)[1]).server
-                                        for number, w in enumerate(asking)})
-    assert homes == {(0.0, 300.0): 3, (0.0, 3_000.0): 3, (100_000.0, 300.0): 3, (100_000.0, 3_000.0): 1,
-                     (300_000.0, 300.0): 3, (300_000.0, 3_000.0): 1}
+            asking = [
+                world(
+                    fleet(readers=60, writers=5), seed=seed, replicas=NODES, classes=(replace(cls, aim_per_1000_tokens=grant),)
+                )
+                for seed in range(1, 31)
+            ]
+            homes[grant, tokens] = len(
+                {
+                    only(Send, w.ask(prefix=7, session=number, prompt_tokens=5_000.0, prefix_tokens=tokens)[1]).server
+                    for number, w in enumerate(asking)
+                }
+            )
+    assert homes == {
+        (0.0, 300.0): 3,
+        (0.0, 3_000.0): 3,
+        (100_000.0, 300.0): 3,
+        (100_000.0, 3_000.0): 1,
+        (300_000.0, 300.0): 3,
+        (300_000.0, 3_000.0): 1,
+    }
 
 
 def test_a_prefix_is_hot_by_its_part_of_what_came_and_nothing_grows_without_end() -> None:
@@ -207,8 +220,7 @@
 
 
 def test_mixed_servers_with_reads_of_their_own_take_no_state_while_writers_are_emptier() -> None:
-    w = world([server(1, READ, weight=9.0), server(2, WRITE, weight=9.0), server(3, BOTH, weight=0.5)],
-              replicas=NODES)
+    w = world([server(1, READ, weight=9.0), server(2, WRITE, weight=9.0), server(3, BOTH, weight=0.5)], replicas=NODES)
     seat = w.router.seats[3]
     w.router.kinds[seat.role, False].carry(50_000.0, w.now, 20 * S)
     used: Counter[int] = Counter()
--- a/tests/test_sequences.py
+++ b/tests/test_sequences.py
@@ -66,8 +66,15 @@
         self.now = 50 * S
         self.lives: dict[int, Life] = {}
         self.timers: list[tuple[int, int]] = []
-        self.servers = {s.id: s for s in [*fleet(3, 3, 2), server(30, BOTH, cell=1, zone=1),
-                                          server(31, WRITE, cell=1, zone=1), server(32, READ, cell=1)]}
+        self.servers = {
+            s.id: s
+            for s in [
+                *fleet(3, 3, 2),
+                server(30, BOTH, cell=1, zone=1),
+                server(31, WRITE, cell=1, zone=1),
+                server(32, READ, cell=1),
+            ]
+        }
         self.text: list[str] = []
         self.step([FleetChange(ListKind.CACHED, 1, tuple(self.servers.values()))])
 
@@ -106,8 +113,9 @@
             assert not life.answered and not life.gone, "rule 1: two answers"
             assert self.now <= life.due + self.settings.answer_slack, "rule 1: answered late"
             if isinstance(action, Refuse) and life.may_have_run:
-                assert self.effect is Effect.SAFE or (
-                    self.effect is Effect.KEYED and self.scope is KeyScope.ALL), "rule 2: refused unproved"
+                assert self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.scope is KeyScope.ALL), (
+                    "rule 2: refused unproved"
+                )
             life.answered = True
         elif isinstance(action, Release):
             self.lives[action.id].state = False
@@ -161,10 +169,19 @@
                 number = len(self.lives) + 1
                 left = self.random.choice([5 * S, 1 * S, 200 * MS])
                 self.lives[number] = Life(self.now + left)
-                events.append(Request(number, self.random.randrange(2), left,
-                                      prompt_tokens=self.random.choice([200.0, 4000.0]), prefix_tokens=100.0,
-                                      max_tokens=300.0, session=number // 2 + 1,
-                                      prefix=self.random.randrange(5), tenant=self.random.randrange(2)))
+                events.append(
+                    Request(
+                        number,
+                        self.random.randrange(2),
+                        left,
+                        prompt_tokens=self.random.choice([200.0, 4000.0]),
+                        prefix_tokens=100.0,
+                        max_tokens=300.0,
+                        session=number // 2 + 1,
+                        prefix=self.random.randrange(5),
+                        tenant=self.random.randrange(2),
+                    )
+                )
             elif draw < 0.85 and open_lives:
                 events += self.outcome(*self.random.choice(open_lives))
             elif draw < 0.9 and open_lives:
@@ -175,8 +192,9 @@
             elif draw < 0.93:
                 old = self.random.choice(list(self.servers.values()))
                 state = self.random.choice([ServerState.READY, ServerState.READY, ServerState.DRAINING])
-                new = Server(old.id, old.kind, state, old.weight, old.cell, old.zone,
-                             self.random.choice([old.started_at, self.now - 1]))
+                new = Server(
+                    old.id, old.kind, state, old.weight, old.cell, old.zone, self.random.choice([old.started_at, self.now - 1])
+                )
                 self.servers[old.id] = new
                 events.append(FleetChange(ListKind.DELTA, 2, (new,)))
         due = [t for t in self.timers if t[0] <= self.now]
@@ -185,8 +203,7 @@
 
     def play(self, steps: int) -> str:
         for _ in range(steps):
-            earliest = min((life.due for life in self.lives.values() if life.out and not life.started),
-                           default=self.now + S)
+            earliest = min((life.due for life in self.lives.values() if life.out and not life.started), default=self.now + S)
             self.now = max(self.now + 1, min(self.now + self.random.randrange(40 * MS), earliest))
             self.step(self.events())
         for _ in range(20_000):
@@ -206,9 +223,10 @@
 
 
 @pytest.mark.parametrize("seed", range(12))
-@pytest.mark.parametrize(("effect", "scope"), [
-    (Effect.SAFE, KeyScope.ALL), (Effect.KEYED, KeyScope.CELL), (Effect.KEYED, KeyScope.ALL),
-    (Effect.UNSAFE, KeyScope.ALL)])
+@pytest.mark.parametrize(
+    ("effect", "scope"),
+    [(Effect.SAFE, KeyScope.ALL), (Effect.KEYED, KeyScope.CELL), (Effect.KEYED, KeyScope.ALL), (Effect.UNSAFE, KeyScope.ALL)],
+)
 def test_random_legal_sequences_keep_the_rules(seed: int, effect: Effect, scope: KeyScope) -> None:
     played = LawfulWorld(seed, effect, scope)
     played.play(600)
@@ -225,8 +243,13 @@
     for hash_seed in ("0", "1", "4242"):
         code = "import test_sequences as t; print(t.digest(3))"
         path = os.pathsep.join([str(here), str(here.parent)])
-        done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
-                              env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": path})
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            capture_output=True,
+            text=True,
+            check=True,
+            env={**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": path},
+        )
         found.add(done.stdout.strip())
     assert len(found) == 1
 
