--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -240,7 +240,10 @@
     """Exchanges with one address. `close` ends every exchange and task of it."""
 
     def __init__(
-        self, address: str, options: ClientOptions, connections: Connections,
+        self,
+        address: str,
+        options: ClientOptions,
+        connections: Connections,
         make_question: Callable[[str], Exchange | None] = no_question,
     ) -> None:
         """`make_question`: an exchange without any effect by which a connection shows that it works; None: there is none."""
--- a/tuliptrack/rpc/http2.py
+++ b/tuliptrack/rpc/http2.py
@@ -28,10 +28,15 @@
     def take_data(self, stream_id: int, size: int) -> bool:
         """Account for a DATA frame without flags; False where h2 must look at it."""
         stream = self.streams.get(stream_id)
-        if (stream is None or stream.state_machine.state not in _RECEIVING or not self.plain_data
-                or stream._expected_content_length is not None or self.incoming_buffer._headers_buffer
-                or size > self._inbound_flow_control_window_manager.current_window_size
-                or size > stream._inbound_window_manager.current_window_size):
+        if (
+            stream is None
+            or stream.state_machine.state not in _RECEIVING
+            or not self.plain_data
+            or stream._expected_content_length is not None
+            or self.incoming_buffer._headers_buffer
+            or size > self._inbound_flow_control_window_manager.current_window_size
+            or size > stream._inbound_window_manager.current_window_size
+        ):
             return False
         self._inbound_flow_control_window_manager.window_consumed(size)
         stream._inbound_window_manager.window_consumed(size)
--- a/tuliptrack/rpc/listener.py
+++ b/tuliptrack/rpc/listener.py
@@ -24,8 +24,21 @@
 bound."""
 _WAITING = 1_024  # connections that the kernel lets wait
 _AGAIN_S = 0.02
-_ONE_CONNECTION = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EPERM, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN,
-                             errno.ENONET, errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.ETIMEDOUT})
+_ONE_CONNECTION = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EPROTO,
+        errno.EPERM,
+        errno.ENETDOWN,
+        errno.ENOPROTOOPT,
+        errno.EHOSTDOWN,
+        errno.ENONET,
+        errno.EHOSTUNREACH,
+        errno.EOPNOTSUPP,
+        errno.ENETUNREACH,
+        errno.ETIMEDOUT,
+    }
+)
 """What says that the connection at hand has failed already; Linux passes such errors on from `accept`. The next one is tried
 at once, but for a few in a row."""
 
--- a/tuliptrack/rpc/metadata.py
+++ b/tuliptrack/rpc/metadata.py
@@ -9,8 +9,16 @@
 __all__ = ["read_metadata", "write_metadata"]
 
 _RESERVED_KEYS = {"te", "content-type", "user-agent", "host", "connection"}
-_PROTOCOL_HEADERS = (b"grpc-timeout", b"grpc-encoding", b"grpc-accept-encoding", b"grpc-status", b"grpc-message", b"te",
-                     b"content-type", b"user-agent")
+_PROTOCOL_HEADERS = (
+    b"grpc-timeout",
+    b"grpc-encoding",
+    b"grpc-accept-encoding",
+    b"grpc-status",
+    b"grpc-message",
+    b"te",
+    b"content-type",
+    b"user-agent",
+)
 
 
 def read_metadata(headers: Iterable[tuple[bytes, bytes]]) -> Metadata:
@@ -34,8 +42,11 @@
     """Written form; ValueError where a key or value can't be sent."""
     found = []
     for key, value in metadata:
-        if key.startswith((":", "grpc-")) or key in _RESERVED_KEYS or not all(
-                c.isascii() and (c.islower() or c.isdigit() or c in "-_.") for c in key):
+        if (
+            key.startswith((":", "grpc-"))
+            or key in _RESERVED_KEYS
+            or not all(c.isascii() and (c.islower() or c.isdigit() or c in "-_.") for c in key)
+        ):
             raise ValueError(f"metadata: {key!r} is not a key that may be sent")
         if isinstance(value, bytes):
             if not key.endswith("-bin"):
--- a/tuliptrack/rpc/retry.py
+++ b/tuliptrack/rpc/retry.py
@@ -14,8 +14,9 @@
 
 log = structlog.get_logger("rpc.retry")
 _AGAIN_S = 0.05
-MOMENTARY = frozenset({
-    errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+MOMENTARY = frozenset(
+    {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EAGAIN, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM}
+)
 """What may be over soon: this machine lacks something, or an address is still taken by a process that ends."""
 
 Result = TypeVar("Result")
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -37,8 +37,20 @@
     the call with DEADLINE_EXCEEDED, and `on_gone` is called.
     """
 
-    __slots__ = ("_timer", "deadline", "link", "metadata", "method", "on_gone", "on_half_close", "on_message",
-                 "on_writable", "open", "stream", "traffic")
+    __slots__ = (
+        "_timer",
+        "deadline",
+        "link",
+        "metadata",
+        "method",
+        "on_gone",
+        "on_half_close",
+        "on_message",
+        "on_writable",
+        "open",
+        "stream",
+        "traffic",
+    )
 
     def __init__(self, link: _ServerLink, start: CallStarted) -> None:
         self.link, self.stream, self.method, self.metadata = link, start.stream, start.method, start.metadata
@@ -142,8 +154,7 @@
         self.calls: dict[int, ServerCall] = {}
         name = writer.get_extra_info("peername")
         self.peer = f"{name[0]}:{name[1]}" if name else "?"
-        super().__init__(reader, writer, Core(client=False, limits=server.limits, now=now_us(),
-                                              bodies=server.bodies))
+        super().__init__(reader, writer, Core(client=False, limits=server.limits, now=now_us(), bodies=server.bodies))
 
     def on_event(self, event: Event) -> None:
         if isinstance(event, CallStarted):
@@ -278,8 +289,9 @@
         tasks = list(self.links.values())
         if tasks and grace > 0:
             cut = asyncio.ensure_future(self._cut.wait())
-            await asyncio.wait({asyncio.ensure_future(asyncio.wait(tasks)), cut}, timeout=grace,
-                               return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                {asyncio.ensure_future(asyncio.wait(tasks)), cut}, timeout=grace, return_when=asyncio.FIRST_COMPLETED
+            )
             cut.cancel()
         self.on_cut()
         for link in list(self.links):
--- a/tuliptrack/rpc/status.py
+++ b/tuliptrack/rpc/status.py
@@ -16,8 +16,20 @@
 
 from tuliptrack.decisions.admission import refusal_text
 
-__all__ = ["Code", "Metadata", "Status", "decode_binary", "decode_timeout", "encode_binary", "encode_timeout",
-           "from_http", "from_reset", "refusal", "refusal_details", "with_details"]
+__all__ = [
+    "Code",
+    "Metadata",
+    "Status",
+    "decode_binary",
+    "decode_timeout",
+    "encode_binary",
+    "encode_timeout",
+    "from_http",
+    "from_reset",
+    "refusal",
+    "refusal_details",
+    "with_details",
+]
 
 Metadata = tuple[tuple[str, str | bytes], ...]
 """Pairs of a lower-case key and its value: bytes where the key ends in `-bin`, text elsewhere."""
@@ -94,15 +106,23 @@
 
 def from_http(status: int) -> Code:
     """The code for an answer that carries no grpc-status."""
-    return {400: Code.INTERNAL, 401: Code.UNAUTHENTICATED, 403: Code.PERMISSION_DENIED, 404: Code.UNIMPLEMENTED,
-            429: Code.UNAVAILABLE, 502: Code.UNAVAILABLE, 503: Code.UNAVAILABLE,
-            504: Code.UNAVAILABLE}.get(status, Code.UNKNOWN)
+    return {
+        400: Code.INTERNAL,
+        401: Code.UNAUTHENTICATED,
+        403: Code.PERMISSION_DENIED,
+        404: Code.UNIMPLEMENTED,
+        429: Code.UNAVAILABLE,
+        502: Code.UNAVAILABLE,
+        503: Code.UNAVAILABLE,
+        504: Code.UNAVAILABLE,
+    }.get(status, Code.UNKNOWN)
 
 
 def from_reset(error: int) -> Code:
     """The code for a stream that its peer reset with this HTTP/2 error."""
-    return {0x7: Code.UNAVAILABLE, 0x8: Code.CANCELLED, 0xB: Code.RESOURCE_EXHAUSTED,
-            0xC: Code.PERMISSION_DENIED}.get(error, Code.INTERNAL)
+    return {0x7: Code.UNAVAILABLE, 0x8: Code.CANCELLED, 0xB: Code.RESOURCE_EXHAUSTED, 0xC: Code.PERMISSION_DENIED}.get(
+        error, Code.INTERNAL
+    )
 
 
 def encode_message(text: str) -> bytes:
--- a/tuliptrack/sources/feed.py
+++ b/tuliptrack/sources/feed.py
@@ -24,11 +24,12 @@
 class FeedSource:
     """One Watch stream at a time, while subscribed. `keepalive` (microseconds) finds a feed that died silently."""
 
-    def __init__(self, address: str, node: str = "", connect_timeout: int = 250_000,
-                 keepalive: int = 5_000_000) -> None:
+    def __init__(self, address: str, node: str = "", connect_timeout: int = 250_000, keepalive: int = 5_000_000) -> None:
         self.node = node
-        self.channel = Channel(address, Options(connect_timeout=connect_timeout, keepalive_after=keepalive,
-                                                keepalive_timeout=keepalive, max_links=1))
+        self.channel = Channel(
+            address,
+            Options(connect_timeout=connect_timeout, keepalive_after=keepalive, keepalive_timeout=keepalive, max_links=1),
+        )
         self.tell: Callable[[pb.ServerList], None] = lambda _: None
         self.stream: ClientCall | None = None
         self.version = 0
@@ -55,8 +56,9 @@
                 log.warning("server list not taken", source=self.channel.address, reason=f"malformed: {error}")
                 return
             if first and message.kind != pb.ServerList.FULL:
-                log.warning("server list not taken", source=self.channel.address,
-                            reason="a stream must begin with a whole list")
+                log.warning(
+                    "server list not taken", source=self.channel.address, reason="a stream must begin with a whole list"
+                )
                 return
             if not first and message.version <= self.version and message.kind != pb.ServerList.FAILED:
                 self.dropped += 1
@@ -72,8 +74,11 @@
                 self.tell(_FAILED)
 
         call = self.stream = self.channel.call(
-            "/tuliptrack.v1.ServerFeed/Watch", on_message=got, on_end=ended,
-            message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString())
+            "/tuliptrack.v1.ServerFeed/Watch",
+            on_message=got,
+            on_end=ended,
+            message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString(),
+        )
 
     def fetch(self) -> None:
         got: list[bytes] = []
@@ -87,8 +92,13 @@
                 log.warning("server list not fetched", source=self.channel.address, reason=str(error))
                 self.tell(_FAILED)
 
-        self.channel.call("/tuliptrack.v1.ServerFeed/Fetch", timeout=_FETCH_TIMEOUT, on_message=got.append,
-                          on_end=ended, message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString())
+        self.channel.call(
+            "/tuliptrack.v1.ServerFeed/Fetch",
+            timeout=_FETCH_TIMEOUT,
+            on_message=got.append,
+            on_end=ended,
+            message=pb.WatchRequest(version=self.version, node=self.node).SerializeToString(),
+        )
 
     async def close(self) -> None:
         self.subscribe(False)
--- a/tuliptrack/sources/listing.py
+++ b/tuliptrack/sources/listing.py
@@ -25,10 +25,12 @@
 __all__ = ["ListError", "Listing", "Roster", "Source", "load_cache", "save_cache"]
 
 MOST_SERVERS = 100_000  # entries of one list: a bound, far above any fleet
-_STATES = {pb.ServerEntry.READY: ServerState.READY, pb.ServerEntry.DRAINING: ServerState.DRAINING,
-           pb.ServerEntry.GONE: ServerState.GONE}
-_KINDS = {pb.ServerList.FULL: ListKind.FULL, pb.ServerList.DELTA: ListKind.DELTA,
-          pb.ServerList.FAILED: ListKind.FAILED}
+_STATES = {
+    pb.ServerEntry.READY: ServerState.READY,
+    pb.ServerEntry.DRAINING: ServerState.DRAINING,
+    pb.ServerEntry.GONE: ServerState.GONE,
+}
+_KINDS = {pb.ServerList.FULL: ListKind.FULL, pb.ServerList.DELTA: ListKind.DELTA, pb.ServerList.FAILED: ListKind.FAILED}
 
 
 class ListError(Exception):
@@ -81,9 +83,17 @@
         for place, entry in enumerate(message.servers):
             self._check(entry, f"servers[{place}]", seen)
         for entry in message.servers:
-            servers.append(Server(
-                entry.id, self.kinds[entry.kind], _STATES[entry.state], entry.weight or 1.0, entry.cell, entry.zone,
-                self._starts.monotonic(entry.id, entry.started_unix_us, now, wall)))
+            servers.append(
+                Server(
+                    entry.id,
+                    self.kinds[entry.kind],
+                    _STATES[entry.state],
+                    entry.weight or 1.0,
+                    entry.cell,
+                    entry.zone,
+                    self._starts.monotonic(entry.id, entry.started_unix_us, now, wall),
+                )
+            )
         if what is not ListKind.DELTA:
             self.held.clear()
         for entry in message.servers:
--- a/tuliptrack/state/records.py
+++ b/tuliptrack/state/records.py
@@ -56,8 +56,7 @@
         """The pace that only a quarter of its last answers were quicker than; 0 where there were none."""
         return sorted(self.paces)[len(self.paces) // 4] if self.paces else 0.0
 
-    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool,
-                 now: int) -> None:
+    def answered(self, flight: Flight, latency: int, waiting: float, weight: float, read: bool, now: int) -> None:
         """Bring the averages up to an answer. The time per token is a ratio of two averages: a prompt that is
         nearly all kept has a few tokens of its own and would swamp an average of ratios."""
         self.work += weight * (flight.work - self.work)
--- a/tuliptrack/store/ledger.py
+++ b/tuliptrack/store/ledger.py
@@ -215,8 +215,11 @@
                         old.append((bytes(key), parts))
                     else:
                         later_works |= {(p.tenant, p.work) for p in parts}
-            while (cut := next((n for n, (_, parts) in enumerate(old) if any(
-                    (p.tenant, p.work) in later_works for p in parts)), None)) is not None:
+            while (
+                cut := next(
+                    (n for n, (_, parts) in enumerate(old) if any((p.tenant, p.work) in later_works for p in parts)), None
+                )
+            ) is not None:
                 later_works |= {(p.tenant, p.work) for _, parts in old[cut:] for p in parts}
                 del old[cut:]
             folded = totals(fold(part for _, parts in old for part in parts))
--- a/tuliptrack/store/ledger_format.py
+++ b/tuliptrack/store/ledger_format.py
@@ -32,19 +32,46 @@
 def to_message(part: Part) -> pb.BillPart:
     """A part as it is written."""
     made = pb.BillPart(
-        node=part.node, number=part.number, tenant=part.tenant, work=part.work, request_class=part.request_class,
-        model=part.model, model_version=part.model_version, at_us=part.at_us, prompt_tokens=part.prompt_tokens,
-        kept_tokens=part.kept_tokens, first=part.first, next=part.next, lost_read=part.lost_read,
-        lost_written=part.lost_written, price=pb.Price(read=part.price.read, kept=part.price.kept, written=part.price.written))
+        node=part.node,
+        number=part.number,
+        tenant=part.tenant,
+        work=part.work,
+        request_class=part.request_class,
+        model=part.model,
+        model_version=part.model_version,
+        at_us=part.at_us,
+        prompt_tokens=part.prompt_tokens,
+        kept_tokens=part.kept_tokens,
+        first=part.first,
+        next=part.next,
+        lost_read=part.lost_read,
+        lost_written=part.lost_written,
+        price=pb.Price(read=part.price.read, kept=part.price.kept, written=part.price.written),
+    )
     made.outcome = part.outcome  # type: ignore[assignment]
     return made
 
 
 def from_message(m: pb.BillPart) -> Part:
     """A part as it was read."""
-    return Part(m.node, m.number, m.tenant, m.work, m.at_us, m.prompt_tokens, m.kept_tokens, m.first, m.next, m.outcome,
-                m.lost_read, m.lost_written, Price(m.price.read, m.price.kept, m.price.written), m.request_class, m.model,
-                m.model_version)
+    return Part(
+        m.node,
+        m.number,
+        m.tenant,
+        m.work,
+        m.at_us,
+        m.prompt_tokens,
+        m.kept_tokens,
+        m.first,
+        m.next,
+        m.outcome,
+        m.lost_read,
+        m.lost_written,
+        Price(m.price.read, m.price.kept, m.price.written),
+        m.request_class,
+        m.model,
+        m.model_version,
+    )
 
 
 def batch_key(sequence: int) -> bytes:
--- a/tuliptrack/wirehost.py
+++ b/tuliptrack/wirehost.py
@@ -27,15 +27,31 @@
 _HALT, _START = 265, 256
 _MAX_U32 = 0xFFFFFFFF
 
-_STATUS = {1: io.Status.OK, 0: io.Status.ERROR, 2: io.Status.FULL, 3: io.Status.TIMEOUT,
-           4: io.Status.CONNECT_FAILED, 5: io.Status.RESET, 6: io.Status.CANCELLED, 7: io.Status.MOOT,
-           202: io.Status.READ}
+_STATUS = {
+    1: io.Status.OK,
+    0: io.Status.ERROR,
+    2: io.Status.FULL,
+    3: io.Status.TIMEOUT,
+    4: io.Status.CONNECT_FAILED,
+    5: io.Status.RESET,
+    6: io.Status.CANCELLED,
+    7: io.Status.MOOT,
+    202: io.Status.READ,
+}
 _STATE = {0: io.ServerState.READY, 1: io.ServerState.DRAINING, 2: io.ServerState.GONE}
 _LIST_KIND = {0: io.ListKind.DELTA, 1: io.ListKind.FULL, 2: io.ListKind.CACHED, 3: io.ListKind.FAILED}
 _EFFECT = {"free": io.Effect.SAFE, "guarded": io.Effect.KEYED, "single_shot": io.Effect.UNSAFE}
 
-_REPORT = {"inflight": "in_flight", "queue": "queued", "util": "utilisation", "latency_ms": "latency_ms",
-           "qps": "served_per_s", "eps": "errors_per_s", "x0": "memory_share", "x1": "tokens_waiting_k"}
+_REPORT = {
+    "inflight": "in_flight",
+    "queue": "queued",
+    "util": "utilisation",
+    "latency_ms": "latency_ms",
+    "qps": "served_per_s",
+    "eps": "errors_per_s",
+    "x0": "memory_share",
+    "x1": "tokens_waiting_k",
+}
 
 
 class WireError(Exception):
@@ -126,38 +142,55 @@
     reporting = env.get("reporting") or {}
     classes = tuple(
         io.RequestClass(
-            name=str(c.get("name", i)), worth=float(c["importance"]), aim=int(c["promise"]),
+            name=str(c.get("name", i)),
+            worth=float(c["importance"]),
+            aim=int(c["promise"]),
             deadline=int(c["deadline"]),
             aim_per_1000_tokens=float(per_1000[i]) if i < len(per_1000) else 0.0,
             token_aim=float(token_aim[i]) if i < len(token_aim) else 0.0,
             late_share=float(c.get("lateShare", 0.0)),
             effect=_lookup(_EFFECT, c["effect"], "settings: classes[].effect"),
             key_scope=_enum(io.KeyScope, c.get("keyScope", "all"), "classes[].keyScope"),
-            dedup_window=int(c.get("dedupWindow", 0)), streamed=bool(c.get("stream", False)))
-        for i, c in enumerate(env["classes"]))
+            dedup_window=int(c.get("dedupWindow", 0)),
+            streamed=bool(c.get("stream", False)),
+        )
+        for i, c in enumerate(env["classes"])
+    )
     return io.Settings(
-        replicas=int(env["replicasOfMe"]), classes=classes,
+        replicas=int(env["replicasOfMe"]),
+        classes=classes,
         roles=tuple(_enum(io.Role, r, "specifics.dutyByKind") for r in facts["dutyByKind"]),
         memory_tokens=tuple(float(m) for m in facts.get("kvTokens") or ()),
         tenants=tuple(
             io.Tenant(str(t.get("name", "")), float(t.get("share", 0.0)), float(t["quotaPerS"]))
-            for t in env.get("projects") or ()),
-        slot=int(env.get("slotNo", 0)), zone=int(env.get("az", 0)),
-        over_share_worth=float(env.get("overShareWorth", 1.0)), max_attempts=int(limits["mostTries"]),
-        release_within=int(facts["letGoBy"]), answer_slack=int(duties.get("answerSlack", 0)),
-        drain_grace=int(duties["drainGrace"]), ask_within=int(duties.get("askWithin", 0)),
+            for t in env.get("projects") or ()
+        ),
+        slot=int(env.get("slotNo", 0)),
+        zone=int(env.get("az", 0)),
+        over_share_worth=float(env.get("overShareWorth", 1.0)),
+        max_attempts=int(limits["mostTries"]),
+        release_within=int(facts["letGoBy"]),
+        answer_slack=int(duties.get("answerSlack", 0)),
+        drain_grace=int(duties["drainGrace"]),
+        ask_within=int(duties.get("askWithin", 0)),
         must_subscribe=env.get("discovery") == "subscribe",
-        cold_for=int(duties["cold"]), cold_from=float(duties["coldFrom"]),
-        fall_multiple=float(duties["fallMultiple"]), fall_window=int(duties["fall"]),
-        tick=int(env.get("granularity", 1000)), connect_timeout=int(limits.get("connectTimeout", 0)),
-        may_cancel=bool(limits.get("cancel", False)), may_probe=bool(limits.get("mayProbe", False)),
+        cold_for=int(duties["cold"]),
+        cold_from=float(duties["coldFrom"]),
+        fall_multiple=float(duties["fallMultiple"]),
+        fall_window=int(duties["fall"]),
+        tick=int(env.get("granularity", 1000)),
+        connect_timeout=int(limits.get("connectTimeout", 0)),
+        may_cancel=bool(limits.get("cancel", False)),
+        may_probe=bool(limits.get("mayProbe", False)),
         may_hold_ahead=bool(facts.get("earlyPairing", False)),
-        may_advise_retry=bool(limits.get("retryAfter", False)), may_resume=bool(facts.get("resume", False)),
+        may_advise_retry=bool(limits.get("retryAfter", False)),
+        may_resume=bool(facts.get("resume", False)),
         writers_read=bool(facts.get("writersRead", False)),
         second_copies=bool(limits.get("secondCopies", False)),
-        max_retry_after=int(limits.get("maxRetryAfter", 0)), far_price=float(facts.get("farPrice", 0.0)),
-        report_fields=tuple(_REPORT.get(f, f) for f in reporting.get("fields") or ()
-                            if reporting.get("how") != "silent"))
+        max_retry_after=int(limits.get("maxRetryAfter", 0)),
+        far_price=float(facts.get("farPrice", 0.0)),
+        report_fields=tuple(_REPORT.get(f, f) for f in reporting.get("fields") or () if reporting.get("how") != "silent"),
+    )
 
 
 # ---------------------------------------------------------------- events in
@@ -173,15 +206,26 @@
     servers = []
     for _ in range(count):
         zone, since, server, sort, state, weight, cell = r.take(_ENTRY.format[1:])
-        servers.append(io.Server(server, sort, _lookup(_STATE, state, f"{r.what}: health"), weight, cell,
-                                 zone, since))
+        servers.append(io.Server(server, sort, _lookup(_STATE, state, f"{r.what}: health"), weight, cell, zone, since))
     return io.FleetChange(_lookup(_LIST_KIND, kind, f"{r.what}: kind"), version, tuple(servers))
 
 
 def _request(r: _Reader) -> io.Request:
     ref, hint, grace, prefix_len, most, session, prefix, prompt, tenant, cls, bits = r.take("QIIffQQfIBB")
-    return io.Request(ref, cls, grace, prompt, prefix_len, most, session, prefix, tenant,
-                      hint if bits & 1 else None, bool(bits & 2), bool(bits & 16))
+    return io.Request(
+        ref,
+        cls,
+        grace,
+        prompt,
+        prefix_len,
+        most,
+        session,
+        prefix,
+        tenant,
+        hint if bits & 1 else None,
+        bool(bits & 2),
+        bool(bits & 16),
+    )
 
 
 def _started(r: _Reader) -> io.Started:
@@ -198,8 +242,7 @@
     ref, over, note, server, attempt, code, lag = r.take("QBIIBBI")
     status = _lookup(_STATUS, code, f"{r.what}: disposition")
     kept = note if status in (io.Status.OK, io.Status.READ) else 0
-    return io.Outcome(ref, attempt, server, status, lag, bool(over), kept,
-                      status is io.Status.FULL and note == 1, r.floats())
+    return io.Outcome(ref, attempt, server, status, lag, bool(over), kept, status is io.Status.FULL and note == 1, r.floats())
 
 
 def _probed(r: _Reader) -> io.ProbeResult:
@@ -238,7 +281,7 @@
         name, decode = _lookup(_EVENTS, code, f"record {index}: code")
         if at + size > len(body):
             raise WireError(f"record {index} ({name}): {size} bytes told, {len(body) - at} there")
-        r = _Reader(body[at:at + size], f"record {index} ({name})")
+        r = _Reader(body[at : at + size], f"record {index} ({name})")
         at += size
         (node,) = r.take("H")
         event = decode(r)
@@ -259,8 +302,7 @@
 _ACTIONS: dict[type, tuple[int, Callable[[Any], bytes]]] = {
     io.SetTimer: (256, lambda a: struct.pack("<IQ", min(max(a.delay, 0), _MAX_U32), a.token)),
     io.FetchFleet: (257, lambda a: b""),
-    io.TellPeers: (258, lambda a: struct.pack("<IH", _MAX_U32 if a.peer is None else a.peer, len(a.data))
-                   + a.data),
+    io.TellPeers: (258, lambda a: struct.pack("<IH", _MAX_U32 if a.peer is None else a.peer, len(a.data)) + a.data),
     io.HandBack: (259, lambda a: struct.pack("<Q", a.id)),
     io.Fail: (260, lambda a: struct.pack("<Q", a.id)),
     io.Cancel: (261, lambda a: struct.pack("<QB", a.id, a.attempt)),
@@ -303,8 +345,11 @@
         sink.flush()
 
 
-def _run_batch(routers: dict[int, Router], now: int, records: Iterator[tuple[int, Any]],
-               ) -> list[tuple[int, io.Action]]:
+def _run_batch(
+    routers: dict[int, Router],
+    now: int,
+    records: Iterator[tuple[int, Any]],
+) -> list[tuple[int, io.Action]]:
     """Give each node its own events, in order; a start or halt in mid-batch parts one life from the next."""
     pending: dict[int, list[io.Event]] = {}
     actions: list[tuple[int, io.Action]] = []
