--- a/tests/rpc/test_failing_calls.py
+++ b/tests/rpc/test_failing_calls.py
@@ -20,10 +20,13 @@
 from tuliptrack.rpc.http1_exchange import Exchange, How
 from tuliptrack.rpc.http1_pool import Connections, Pool
 from tuliptrack.rpc.loop_errors import log_loop_errors
+from tuliptrack.rpc.server import Server
 
 ACCEPT = (errno.ECONNABORTED, errno.EPROTO, errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM, errno.EPERM)
 OWN_LACK = (errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM)
 OWN_NETWORK = (errno.EADDRNOTAVAIL, errno.ENETUNREACH)
+HTTP2_PREFACE = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + bytes(3) + b"\x04" + bytes(5)
+"""What a client says first: the preface, and settings that are all as usual."""
 TAKES_UP_S = 0.05
 """After the trouble's end."""
 
@@ -88,6 +91,37 @@
     assert said.count("can't be accepted") <= 3 and "Traceback" not in said
 
 
+async def knock(address: str) -> None:
+    """A connection on which a gRPC server says its first word."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(HTTP2_PREFACE)
+    assert await reader.readexactly(9)
+    writer.close()
+
+
+def test_the_grpc_listener_takes_up_again_at_once_whatever_accept_said(
+    faults: CallFaults, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def go() -> None:
+        server = Server()
+        address = await server.listen()
+        for number in ACCEPT:
+            faults.accept, faults.share = (number,), 1.0
+            waiting = asyncio.ensure_future(knock(address))
+            await asyncio.sleep(0.15)
+            assert not waiting.done() and faults.failed
+            faults.share = 0.0
+            ended = asyncio.get_running_loop().time()
+            await waiting
+            assert asyncio.get_running_loop().time() - ended < TAKES_UP_S, errno.errorcode[number]
+        assert faults.failed < 100 * len(ACCEPT), "it spins"
+        await server.stop()
+
+    run(go)
+    assert not caplog.records, "asyncio had something to say"
+
+
 def test_short_reads_and_writes_change_nothing(faults: CallFaults) -> None:
     async def go() -> None:
         server = await serve()
