The gRPC server accepts through the one listener that goes on whatever accept says

Cause: two listeners for one job. The platform's node had its own, which takes up 20 ms after a failure; the gRPC server had asyncio's, which rests for a second and logs a traceback.

--- a/tuliptrack/rpc/listener.py
+++ b/tuliptrack/rpc/listener.py
@@ -89,6 +89,10 @@
 
     def _take(self, connection: socket.socket) -> None:
         connection.setblocking(False)
+        with contextlib.suppress(
+            OSError
+        ):  # It has ended meanwhile. asyncio sees to it on its own listeners' connections alone.
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         task = self._loop.create_task(self._hand_over(connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -19,6 +19,7 @@
 from tuliptrack.rpc.core import Core, Limits
 from tuliptrack.rpc.events import Broken, CallStarted, Cancelled, Event, GoAway, HalfClosed, MessageReceived, Writable
 from tuliptrack.rpc.link import Link
+from tuliptrack.rpc.listener import Listener
 from tuliptrack.rpc.status import Code, Metadata, Status, refusal, refusal_details, with_details
 
 __all__ = ["Handler", "Server", "ServerCall", "unary_request"]
@@ -230,7 +231,7 @@
         self.stopping = False
         self.broken = 0
         self.turned_away = self.refused_early = 0
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
         self._cut = asyncio.Event()
         self.address = ""
         self.on_cut: Callable[[], None] = _nothing
@@ -249,11 +250,15 @@
 
     async def listen(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Start; returns host:port, with the kernel's choice for port 0."""
-        self._server = await asyncio.start_server(self._accept, host, port, backlog=1024)
-        name = self._server.sockets[0].getsockname()
-        self.address = f"{name[0]}:{name[1]}"
+        self._listener = Listener(asyncio.get_running_loop(), self._protocol)
+        self.address = self._listener.start(host, port)
         return self.address
 
+    def _protocol(self) -> asyncio.StreamReaderProtocol:
+        """Of a new connection: its streams go to `_accept`, in a task of its own."""
+        loop = asyncio.get_running_loop()
+        return asyncio.StreamReaderProtocol(asyncio.StreamReader(loop=loop), self._accept, loop=loop)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.links) >= self.max_connections or self.stopping or (self.gate and not await self.gate(writer)):
             self.turned_away += 1
@@ -280,8 +285,8 @@
     async def stop(self, grace: float = 0.0) -> None:
         """Take no new calls, let open ones run for `grace` seconds, then end all."""
         self.stopping = True
-        if self._server:
-            self._server.close()
+        if self._listener:
+            await self._listener.close()
         for link in list(self.links):
             link.core.drain()
             link.flush_soon()
@@ -305,6 +310,3 @@
         for task in tasks:
             with contextlib.suppress(asyncio.CancelledError):
                 await task
-        if self._server:
-            with contextlib.suppress(asyncio.CancelledError):
-                await self._server.wait_closed()
