Nothing is let go beside an attempt that surely waits at its engine

Change: `relay/corroboration.py` takes an attempt to have arrived where its connection proved itself within 20 ms before, its engine has answered a question on another connection since, and an older connection to another engine has brought something since. It is asked 80 ms before the lease ends; where one is missing the state is let go as before. What remains is one connection that falls silent alone within those milliseconds.

--- a/tests/node/test_attempt_state.py
+++ b/tests/node/test_attempt_state.py
@@ -24,8 +24,8 @@
 
 
 def test_what_may_have_run_and_what_has_arrived_are_different_questions() -> None:
-    assert [may_have_run(state) for state in Delivery] == [False, True, True]
-    assert [has_arrived(state) for state in Delivery] == [False, False, True]
+    assert [may_have_run(state) for state in Delivery] == [False, True, True, True]
+    assert [has_arrived(state) for state in Delivery] == [False, False, True, True]
 
 
 def test_an_attempt_begins_only_for_a_request_that_waits_at_a_server_that_is_ready() -> None:
--- a/tuliptrack/node/attempt_state.py
+++ b/tuliptrack/node/attempt_state.py
@@ -3,9 +3,10 @@
     NOT_SENT ──▶ POSSIBLE ──▶ CONFIRMED ──▶ (ended)
 
 Two questions are asked of an attempt, and their safe sides are opposite. *May it have run?* is yes as soon as its last byte
-was written, since that may have arrived. *Has it arrived?* is yes only on a word of the engine itself, on that connection and
-after the send: what the kernel says of the connection tells nothing of a process behind it, as a machine, a proxy or a
-middlebox may confirm bytes that nobody ever reads. Nothing else may stand in for either question.
+was written, since that may have arrived. *Has it arrived?* is yes only on words of engines themselves: one on that connection
+and after the send, or those that together leave no other account of it (`relay/corroboration.py`). What the kernel says of
+the connection tells nothing of a process behind it, as a machine, a proxy or a middlebox may confirm bytes that nobody ever
+reads. Nothing else may stand in for either question.
 
 All times are monotonic microseconds.
 """
@@ -39,6 +40,8 @@
     """Its last byte was not written: it never ran, and ended now it never will."""
     POSSIBLE = "possible"
     """Its last byte was written. It may have arrived, may arrive yet, or never."""
+    CORROBORATED = "corroborated"
+    """Its connection proved itself right before, and its engine and other connections have since."""
     CONFIRMED = "confirmed"
     """The engine has spoken on that connection since."""
 
@@ -66,7 +69,7 @@
 
 def has_arrived(delivery: Delivery) -> bool:
     """Whether the engine surely has the attempt: only then does the clock of what is held for it stop."""
-    return delivery is Delivery.CONFIRMED
+    return delivery in (Delivery.CORROBORATED, Delivery.CONFIRMED)
 
 
 def may_send(ended: bool, client_left: bool, in_flight: bool, server: ServerState | None) -> Verdict:
--- a/tuliptrack/node/calls.py
+++ b/tuliptrack/node/calls.py
@@ -48,6 +48,9 @@
             return Delivery.NOT_SENT
         return Delivery.CONFIRMED if self.call.arrived else Delivery.POSSIBLE
 
+    def seek_arrival(self) -> None:
+        """Its connection looks for its own proofs."""
+
     def doubt(self) -> None:
         """Its connection looks for its own proofs."""
 
--- a/tuliptrack/node/held_states.py
+++ b/tuliptrack/node/held_states.py
@@ -26,6 +26,7 @@
 __all__ = ["HeldStates"]
 
 _TIMER_EARLY_US = 1_000  # a timer may fire a little early
+_SEEK_EARLY_US = 80_000  # before a lease ends: a round trip to an engine, on a new connection too
 _LEAST_LEASE = 0.5  # part of the time allowed that a lease lasts, however long releases travel
 
 
@@ -58,13 +59,22 @@
         """The state is held, or may be, and its lease begins anew."""
         self.stop(record)
         record.held_at, record.release_asked = self._now(), False
-        record.hold_timer = asyncio.get_running_loop().call_later(self.lease / 1e6, self.overdue, record)
+        sought_in = max(self.lease - _SEEK_EARLY_US, self.lease // 2)
+        record.hold_timer = asyncio.get_running_loop().call_later(sought_in / 1e6, self._seek_arrival, record)
+
+    def _seek_arrival(self, record: Record) -> None:
+        """The lease ends soon: find out whether the attempt that is out has arrived."""
+        if record.out and record.out.call:
+            record.out.call.seek_arrival()
+        left = record.held_at + self.lease - self._now()
+        record.hold_timer = asyncio.get_running_loop().call_later(max(left, 0) / 1e6, self.overdue, record)
 
     def overdue(self, record: Record) -> None:
         """The lease is over: the state is let go, unless an attempt has surely arrived."""
         record.hold_timer = None
         if record.out and record.out.call:
             if has_arrived(record.out.call.delivery()):
+                self._counters.add("leases_ended_by_arrival")
                 return
             record.out.call.doubt()
             self._counters.add("releases_beside_attempts")
@@ -138,6 +148,6 @@
         if ended.state_lost or no_connection_in_time or (record.release_asked and not ended.received):
             self.release(record)  # Also where it is said to be gone: the word may be wrong.
             return True
-        if ended.received and (record.held or record.maybe_held is not None):
+        if (ended.received or ended.arrived) and (record.held or record.maybe_held is not None):
             self.restart(record)
         return False
--- a/tuliptrack/node/port.py
+++ b/tuliptrack/node/port.py
@@ -34,6 +34,8 @@
     """The engine can't make anything of the request, and no other would."""
     received: bool = False
     """The engine surely had the whole request: it has spoken on that connection since."""
+    arrived: bool = False
+    """The engine is taken to have had the whole request, though it has said nothing on it."""
     detail: Any = None
     """What the protocol itself says of the end, for accounts that know it."""
 
@@ -47,6 +49,9 @@
     def delivery(self) -> Delivery:
         """How far it has come, as far as this node can know."""
 
+    def seek_arrival(self) -> None:
+        """The lease of what it came for ends soon: find out whether it has arrived, as far as that can be."""
+
     def doubt(self) -> None:
         """It has brought no word for too long: its connection and its machine are not relied upon until they speak."""
 
--- a/tuliptrack/relay/engines.py
+++ b/tuliptrack/relay/engines.py
@@ -17,11 +17,13 @@
 from tuliptrack.node.core import Core
 from tuliptrack.node.port import Ended
 from tuliptrack.node.requests import Attempt, Held, Record
+from tuliptrack.relay.corroboration import Corroboration
 from tuliptrack.relay.late_releases import LateReleases
 from tuliptrack.relay.pools import EnginePools
 from tuliptrack.relay.releases import UNSURE_ROUNDS, Releases, release_request
 from tuliptrack.rpc.h1 import Answer, Fields
 from tuliptrack.rpc.http1_exchange import Exchange, How
+from tuliptrack.rpc.http1_pool import Pool
 
 __all__ = ["HttpEngines", "Inbound", "load_of"]
 
@@ -62,10 +64,22 @@
 class _Attempt:
     """One attempt that is out; see `node.port.Call`."""
 
-    __slots__ = ("_body", "_load", "_over", "_status", "_whole", "attempt", "engines", "exchange", "record")
-
-    def __init__(self, engines: HttpEngines, record: Record, attempt: Attempt, exchange: Exchange) -> None:
+    __slots__ = (
+        "_arrival",
+        "_body",
+        "_load",
+        "_over",
+        "_status",
+        "_whole",
+        "attempt",
+        "engines",
+        "exchange",
+        "record",
+    )
+
+    def __init__(self, engines: HttpEngines, record: Record, attempt: Attempt, exchange: Exchange, pool: Pool) -> None:
         self.engines, self.record, self.attempt, self.exchange = engines, record, attempt, exchange
+        self._arrival = Corroboration(engines.pools, pool, exchange)
         self._body = bytearray()
         self._load: tuple[float, ...] = ()
         self._whole = False
@@ -80,7 +94,13 @@
     def delivery(self) -> Delivery:
         if not self.exchange.sent:
             return Delivery.NOT_SENT
-        return Delivery.CONFIRMED if self.exchange.heard else Delivery.POSSIBLE
+        if self.exchange.heard:
+            return Delivery.CONFIRMED
+        return Delivery.CORROBORATED if self._arrival.holds() else Delivery.POSSIBLE
+
+    def seek_arrival(self) -> None:
+        if not self.exchange.heard:
+            self._arrival.seek()
 
     def doubt(self) -> None:
         self.exchange.doubt()
@@ -155,6 +175,7 @@
                 pass  # It is for the client; the node does without.
 
     def _end(self, how: How, reason: str) -> None:
+        self._arrival.close()
         self.engines.core.attempt_over(self.record, self.attempt, self._ended(how, reason))
 
     def _ended(self, how: How, reason: str) -> Ended:
@@ -191,6 +212,7 @@
             self._load,
             lone=exchange.spoilt or exchange.lone,
             received=exchange.heard,
+            arrived=self._arrival.holds(),
         )
 
     def _kept(self) -> int:
@@ -247,7 +269,7 @@
 
         exchange.before_write = say_what_is_left
         exchange.wanted = lambda: self.core.wanted(record, attempt.server)
-        made = _Attempt(self, record, attempt, exchange)
+        made = _Attempt(self, record, attempt, exchange, pool)
         pool.send(exchange)
         return made
 
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -64,11 +64,14 @@
         self.exchange: Exchange | None = None
         self.connected = self.dead = False
         self.idle_since = 0.0
+        self.dialled_at = self.opened_at = self.heard_at = 0.0
+        """When it was begun, when it came up, and when something last came on it, on the loop's clock."""
         self._kept = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport, self.connected = transport, True
+        self.opened_at = self.owner.loop.time()
         send_at_once(transport)
         transport.set_write_buffer_limits(high=0)  # `resume_writing` then tells that all is written.
 
@@ -98,6 +101,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.owner.heard()
+        self.heard_at = self.owner.loop.time()
         exchange = self.exchange
         if exchange is None:  # Nobody asked for it.
             self.drop("unasked")
--- a/tuliptrack/rpc/http1_exchange.py
+++ b/tuliptrack/rpc/http1_exchange.py
@@ -70,6 +70,7 @@
         "on_head",
         "open",
         "paused",
+        "proven_since",
         "sent",
         "sent_at",
         "spoilt",
@@ -90,6 +91,9 @@
         """Called as its bytes are made: what its head says of the time left is said now."""
         self.validated = False
         """It goes out on a connection that has just proven to work: a kept one is asked first."""
+        self.proven_since = 0.0
+        """Since when, on the loop's clock, its connection has shown that it works before the request went out on it: since it
+        was asked a question that it has answered, or was dialled. 0: it has not."""
         self.fresh = False
         """It goes out on a new connection, whatever is kept."""
         self.open, self.status = True, 0
--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -103,7 +103,7 @@
         if question is None:
             self._use(connection)
             return
-        question.on_end = lambda how, reason: self._validated(connection, how)
+        question.on_end = lambda how, reason: self._validated(connection, question, how)
         self._validations[connection] = question
         connection.begin(question)
 
@@ -116,13 +116,13 @@
         question.doubt()
         self._connect()
 
-    def _validated(self, connection: ClientConnection, how: How) -> None:
+    def _validated(self, connection: ClientConnection, question: Exchange, how: How) -> None:
         self._validations.pop(connection, None)
         if self.over:
             return
         if how is How.ANSWER and connection in self.pool.idle:
             self.pool.idle.remove(connection)
-            self._use(connection)
+            self._use(connection, question.sent_at)
         elif not self._validations and self._task is None:
             if self._connected:
                 self._fail(How.CONNECT, "the connection ended before it was used", True)
@@ -152,7 +152,7 @@
         self._task, self._connected = None, True
         self.pool.opened(connection)
         if self.over or not (self.exchange.validated and self.pool.doubted):
-            self._use(connection)
+            self._use(connection, connection.dialled_at)
             return
         self._validate(connection)
 
@@ -174,6 +174,7 @@
 
     async def _dial(self, connection: ClientConnection, within_s: float) -> None:
         host, _, port = self.pool.address.rpartition(":")
+        connection.dialled_at = self.pool.loop.time()
         try:
             await asyncio.wait_for(self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
         except (TimeoutError, asyncio.CancelledError):
@@ -189,12 +190,13 @@
             cut_short = isinstance(error, TimeoutError) and self._cut_short
             self._fail(How.CONNECT, reason, cut_short or number in _OWN_NETWORK)
 
-    def _use(self, connection: ClientConnection) -> None:
-        """A connection works: the exchange goes out on it, unless it isn't wanted any more."""
+    def _use(self, connection: ClientConnection, proven_since: float = 0.0) -> None:
+        """A connection works: the exchange goes out on it, unless it isn't wanted any more. `proven_since`: see `Exchange`."""
         if self.over:
             self.pool.rests(connection)
             return
         exchange = self.exchange
+        exchange.proven_since = proven_since
         self._finish()
         if exchange.open and exchange.wanted() and exchange.open:
             connection.begin(exchange)
