--- a/tuliptrack/lab/soak/runner.py
+++ b/tuliptrack/lab/soak/runner.py
@@ -53,6 +53,11 @@
         return told
 
 
+def _ignore_hangup() -> None:
+    """Until a program handles SIGHUP it is ignored, as `run` in the deploy file has it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 class _Soak:
     """One soak under way."""
 
@@ -133,7 +138,14 @@
     async def _spawn(self, key: str, module: list[str], environment: dict[str, str]) -> None:
         with (self.world.folder / f"{key}.log").open("ab") as out:
             self.processes[key] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", *module, stdout=out, stderr=out, cwd=_ROOT, env={**os.environ, **environment}
+                sys.executable,
+                "-m",
+                *module,
+                stdout=out,
+                stderr=out,
+                cwd=_ROOT,
+                env={**os.environ, **environment},
+                preexec_fn=_ignore_hangup,
             )
         self.started += 1
 
