--- a/tests/fronts/test_kserve.py
+++ b/tests/fronts/test_kserve.py
@@ -435,7 +435,7 @@
             await until(lambda: not w.node.table.open)  # its time to read is over
             assert w.node.bodies.held == 0
 
-    run(go, virtual=True)
+    run(go)
 
 
 def test_both_fronts_and_rest_lead_to_the_same_requests_and_the_same_decisions() -> None:
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -339,7 +339,7 @@
             assert end.status.code is Code.CANCELLED and "unread" in end.status.message
             one.check_tokens()
 
-    run(go, virtual=True)
+    run(go)
 
 
 def test_an_engine_that_goes_silent_in_mid_stream_is_given_up_after_the_time_allowed() -> None:
--- a/tuliptrack/node/held_states.py
+++ b/tuliptrack/node/held_states.py
@@ -130,6 +130,8 @@
     def attempt_ended(self, record: Record, attempt: Attempt, ended: Ended) -> None:
         """An attempt is over. Where one at a writer ended without a word, by our own hand or its connection's, its engine may
         see that later than a release gets to another one, which then has spared what that attempt was waiting for."""
+        if self._lease_was_stopped(record):
+            self.restart(record)
         sent = ended.status not in (io.Status.CONNECT_FAILED, io.Status.MOOT)
         if not sent or ended.received:
             return
@@ -138,6 +140,12 @@
         if attempt.reading or attempt.reader:
             record.unheard.add(attempt.server)
 
+    @staticmethod
+    def _lease_was_stopped(record: Record) -> bool:
+        """Whether something is or may be held for which an attempt's arrival has stopped the lease."""
+        held = record.held is not None or record.maybe_held is not None
+        return held and record.hold_timer is None and not record.release_asked
+
     def lost_with(self, record: Record, attempt: Attempt, ended: Ended) -> bool:
         """An attempt at a writer is over without a token: whether the prompt has to be read anew. The state is held on as long
         as its lease allows; only what has surely arrived begins the lease anew. After a release beside an attempt that never
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -281,7 +281,7 @@
         "reading the settings",
         lambda: load(os.environ),
         _START_S,
-        lambda error: isinstance(error, RelayConfigUnreadable) and "RELAY_CONFIG" in os.environ,
+        lambda error: isinstance(error, RelayConfigUnreadable),
     )
 
 
