--- a/tuliptrack/lab/soak/runner.py
+++ b/tuliptrack/lab/soak/runner.py
@@ -66,6 +66,7 @@
         self.recorder = Recorder(world.folder, "runner")
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.started = 0
+        self._starts = dict.fromkeys(world.nodes, 0)
         self.wrong: list[Violation] = []
         self._deadline_s = min(max(world.schedule.deadlines_s), _KILL_AFTER_S[0]) + _KILL_AFTER_S[1]
         shim = world.folder / "shim"
@@ -108,6 +109,7 @@
         await self._spawn(key, ["tuliptrack.lab.soak.participant", role, name, str(self.world.folder / "world.json")], {})
 
     async def _start_node(self, node: str) -> None:
+        self._starts[node] += 1
         path = self.world.folder / f"{node}.json"
         path.write_text(node_config(self.world, node, self.world.agents[node][0], self._known_members()))
         await self._spawn(
@@ -230,6 +232,11 @@
             if descriptors and descriptors_now - descriptors > _MORE_DESCRIPTORS + self.world.schedule.clients * 2:
                 self.wrong.append(Violation("descriptors", node, f"{descriptors}, then {descriptors_now}"))
 
+    def _still_starts(self, node: str) -> bool:
+        """Whether its last process has not come to serve: one that ends at a SIGTERM then has not crashed."""
+        log = (self.world.folder / f"{node}.log").read_text(errors="replace")
+        return log.count("] serving ") < self._starts[node]
+
     async def _end_nodes(self) -> None:
         """Every node ends by itself, with nothing left and nothing wrong in its log."""
         for node in self.world.nodes:
@@ -242,7 +249,7 @@
             except TimeoutError:
                 self.wrong.append(Violation("end", node, "still there"))
                 continue
-            if code:
+            if code and not (code == -signal.SIGTERM and self._still_starts(node)):
                 self.wrong.append(Violation("crash", node, f"ended with {code}"))
             text = (self.world.folder / f"{node}.log").read_text(errors="replace")
             for line in text.splitlines():
