--- a/tests/relay/test_corroboration.py
+++ b/tests/relay/test_corroboration.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import pytest
-from relay_world import SETTINGS, Peer, Platform, Script, Seen, delay_connections, platform, reads, request, writes
+from relay_world import SETTINGS, Peer, Platform, Script, Seen, platform, reads, request, writes
 from world import run
 
 from tuliptrack.lab.soak.proxy import Fault, FaultProxy
@@ -149,17 +149,29 @@
     run(go, virtual=True)
 
 
-def test_an_attempt_that_went_out_long_after_its_connection_was_begun_is_not_taken_to_have_arrived(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """Much may have happened to the connection in the meantime."""
+def test_an_attempt_on_a_connection_that_has_only_come_up_is_not_taken_to_have_arrived() -> None:
+    """A kernel, a proxy or a middlebox may have accepted it."""
 
     async def go() -> None:
         engines = Engines()
         async with platform(PATIENT, **engines.scripts) as p:
             await engines.warm_up(p)
             p.relay.channels.close_idle(key("w0"))
-            delay_connections(monkeypatch, lambda port: 0.05 if port == p.engines["w0"].port else 0.0)
+            engines.jammed = True
+            await p.say(request("watched"))
+            assert engines.released_at and engines.released_at[0] - engines.read_at <= IN_TIME_S
+
+    run(go, virtual=True)
+
+
+def test_an_attempt_whose_connection_took_long_to_answer_is_not_taken_to_have_arrived() -> None:
+    """Much may have happened to the connection in the meantime."""
+
+    async def go() -> None:
+        engines = Engines()
+        async with platform(PATIENT, **engines.scripts) as p:
+            await engines.warm_up(p)
+            engines.by_name["w0"].proxy.delay_s = 0.015  # each way, and so within the time that a kept one has to answer
             engines.jammed = True
             await p.say(request("watched"))
             assert engines.released_at and engines.released_at[0] - engines.read_at <= IN_TIME_S
--- a/tuliptrack/relay/corroboration.py
+++ b/tuliptrack/relay/corroboration.py
@@ -3,8 +3,9 @@
 An engine says nothing of a request until its first token, which takes seconds in a jam. A release beside an attempt that waits
 costs its engine work, so it is made only where the attempt may not have arrived. Three things together say that it has:
 
-1. Its connection showed right before that it works: a kept one answered a question, a new one came up. From the question, or
-   from dialling, to the attempt's last byte it took `_PROOF_WINDOW_S` at most.
+1. Its connection answered a question right before: from the question to the attempt's last byte it took `_PROOF_WINDOW_S` at
+   most. That a new connection has come up says nothing of a process behind it, so an attempt on one that was not asked never
+   counts.
 2. Its engine has answered a question on another connection that was asked after the attempt was written: its machine was not
    cut off, and its process runs.
 3. A connection to another engine that was open before that has brought something since the attempt was written:
@@ -39,7 +40,7 @@
 
     @property
     def proven_before(self) -> bool:
-        """Whether its connection has shown that it works right before it went out."""
+        """Whether its connection answered right before it went out."""
         exchange = self._exchange
         return exchange.sent and exchange.proven_since > 0 and exchange.sent_at - exchange.proven_since <= _PROOF_WINDOW_S
 
@@ -79,7 +80,7 @@
         self._engine_answered = True
 
     def _older_elsewhere(self, pool: Pool) -> list[ClientConnection]:
-        """Connections to another engine that were open before the attempt's was asked or dialled."""
+        """Connections to another engine that were open before the attempt's was asked."""
         if pool is self._pool:
             return []
         return [connection for connection in pool.links if connection.opened_at < self._exchange.proven_since]
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -64,8 +64,8 @@
         self.exchange: Exchange | None = None
         self.connected = self.dead = False
         self.idle_since = 0.0
-        self.dialled_at = self.opened_at = self.heard_at = 0.0
-        """When it was begun, when it came up, and when something last came on it, on the loop's clock."""
+        self.opened_at = self.heard_at = 0.0
+        """When it came up, and when something last came on it, on the loop's clock."""
         self._kept = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tuliptrack/rpc/http1_exchange.py
+++ b/tuliptrack/rpc/http1_exchange.py
@@ -92,8 +92,8 @@
         self.validated = False
         """It goes out on a connection that has just proven to work: a kept one is asked first."""
         self.proven_since = 0.0
-        """Since when, on the loop's clock, its connection has shown that it works before the request went out on it: since it
-        was asked a question that it has answered, or was dialled. 0: it has not."""
+        """When its connection was asked a question, on the loop's clock, that was answered before the request went out on it;
+        0: it was not."""
         self.fresh = False
         """It goes out on a new connection, whatever is kept."""
         self.open, self.status = True, 0
--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -152,7 +152,7 @@
         self._task, self._connected = None, True
         self.pool.opened(connection)
         if self.over or not (self.exchange.validated and self.pool.doubted):
-            self._use(connection, connection.dialled_at)
+            self._use(connection)
             return
         self._validate(connection)
 
@@ -174,7 +174,6 @@
 
     async def _dial(self, connection: ClientConnection, within_s: float) -> None:
         host, _, port = self.pool.address.rpartition(":")
-        connection.dialled_at = self.pool.loop.time()
         try:
             await asyncio.wait_for(self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
         except (TimeoutError, asyncio.CancelledError):
