--- a/tests/rpc/test_failing_calls.py
+++ b/tests/rpc/test_failing_calls.py
@@ -8,9 +8,11 @@
 import random
 import selectors
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
 
 import pytest
+from relay_world import Vanished
 from world import run, until
 
 from tuliptrack.decisions.admission import ByteBudget
@@ -31,6 +33,16 @@
 """After the trouble's end."""
 
 
+def log_loop_errors_of(go: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a test whose loop logs unhandled errors as a node's does."""
+
+    async def whole() -> None:
+        log_loop_errors(asyncio.get_running_loop())
+        await go()
+
+    run(whole)
+
+
 @pytest.fixture
 def faults(monkeypatch: pytest.MonkeyPatch) -> Iterator[CallFaults]:
     """What fails; nothing yet."""
@@ -216,6 +228,30 @@
     assert not caplog.records, "asyncio had something to say"
 
 
+def test_a_dial_that_is_called_off_while_closes_fail_ends_its_exchange(
+    faults: CallFaults, caplog: pytest.LogCaptureFixture, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """asyncio raises IndexError then, in the place of the cancellation or the time-out."""
+
+    async def go() -> None:
+        nobody = await Vanished().start()
+        pool = Pool(nobody.address, ClientOptions(connect_timeout=100_000), Connections(4))
+        faults.close, faults.share = (errno.EIO,), 1.0
+        for _ in range(3):
+            ended: asyncio.Future[How] = asyncio.get_running_loop().create_future()
+            exchange = Exchange("GET", "/", [("host", "a")])
+            exchange.on_end = lambda how, reason, ended=ended: ended.set_result(how)  # type: ignore[misc]
+            pool.send(exchange)
+            assert await asyncio.wait_for(ended, 5) is How.CONNECT
+        await until(lambda: pool.connections.held == 0, 2)
+        faults.share = 0.0
+        await pool.close()
+        await nobody.stop()
+
+    log_loop_errors_of(go)
+    assert not caplog.records and "Traceback" not in capsys.readouterr().out
+
+
 def test_an_end_of_sending_that_fails_closes_the_connection_and_hurts_no_other(
     faults: CallFaults, caplog: pytest.LogCaptureFixture
 ) -> None:
