A dial that is called off while the close of its socket fails is called off

Cause: asyncio's create_connection takes the failing close for a failed try, finds no error noted and raises IndexError in the place of the cancellation; the task of the dial ended there, with its place among the connections never given back, and a traceback in the log.

--- a/tuliptrack/rpc/channel.py
+++ b/tuliptrack/rpc/channel.py
@@ -23,6 +23,7 @@
 from tuliptrack.rpc.arrival import ARRIVED_PING, ArrivalProofs
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import Core, Limits, Traffic
+from tuliptrack.rpc.dial import dial
 from tuliptrack.rpc.events import CallEnded, CallHeaders, Event, GoAway, MessageReceived, Pong, Writable
 from tuliptrack.rpc.link import Link
 from tuliptrack.rpc.status import Code, Metadata, Status
@@ -374,7 +375,7 @@
         host, _, port = self.address.rpartition(":")
         try:
             try:
-                reader, writer = await asyncio.wait_for(
+                reader, writer = await dial(
                     asyncio.open_connection(host.strip("[]"), int(port)), self.options.connect_timeout / 1e6
                 )
             finally:
--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 
 from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.dial import dial
 from tuliptrack.rpc.http1_client import ClientConnection, ClientOptions
 from tuliptrack.rpc.http1_exchange import Exchange, How
 
@@ -175,8 +176,8 @@
     async def _dial(self, connection: ClientConnection, within_s: float) -> None:
         host, _, port = self.pool.address.rpartition(":")
         try:
-            await asyncio.wait_for(self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
-        except (TimeoutError, asyncio.CancelledError):
+            await dial(self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
+        except (OSError, asyncio.CancelledError):
             connection.drop("too late")  # It may have come up in this very moment.
             raise
 
