--- a/tuliptrack/rpc/channel.py
+++ b/tuliptrack/rpc/channel.py
@@ -376,7 +376,7 @@
         try:
             try:
                 reader, writer = await dial(
-                    asyncio.open_connection(host.strip("[]"), int(port)), self.options.connect_timeout / 1e6
+                    lambda: asyncio.open_connection(host.strip("[]"), int(port)), self.options.connect_timeout / 1e6
                 )
             finally:
                 self._connecting -= 1
--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -176,7 +176,7 @@
     async def _dial(self, connection: ClientConnection, within_s: float) -> None:
         host, _, port = self.pool.address.rpartition(":")
         try:
-            await dial(self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
+            await dial(lambda: self.pool.loop.create_connection(lambda: connection, host.strip("[]"), int(port)), within_s)
         except (OSError, asyncio.CancelledError):
             connection.drop("too late")  # It may have come up in this very moment.
             raise
