--- a/tuliptrack/lab/soak/shim.py
+++ b/tuliptrack/lab/soak/shim.py
@@ -108,6 +108,8 @@
 
     def _outgoing(self) -> bool:
         """Whether this process opened the connection: a client's connection that breaks is no fault of the node's."""
+        if self.family == socket.AF_UNIX:  # asyncio's own pair
+            return False
         try:
             return int(self.getsockname()[1]) != _listens_at()
         except OSError:
