--- a/tests/relay/test_process_failures.py
+++ b/tests/relay/test_process_failures.py
@@ -64,24 +64,7 @@
 
 def known(p: Platform) -> dict[str, object]:
     """The platform's engines as a node may know them from its settings."""
-    kinds = {"r": "reads", "w": "writes"}
-    return {
-        "revision": 1,
-        "complete": True,
-        "members": [
-            {
-                "id": name,
-                "host_port": peer.address,
-                "locality": "z",
-                "flavor": kinds[name[0]],
-                "cell": 1,
-                "phase": "Ready",
-                "size": 1.0,
-                "up_since_ms": 0,
-            }
-            for name, peer in p.engines.items()
-        ],
-    }
+    return {"revision": 1, "complete": True, "members": p.members()}
 
 
 @contextlib.contextmanager
