A list entry that cannot be read no longer costs the entries beside it

Cause: endpoint_entries.py asked isfinite of a number before comparing it; a whole number beyond floats raises OverflowError there, which nobody reads as the error of an entry. Names with lone surrogates, ports of non-ASCII or very many digits, deep nesting, 1e308 and numbers over Python's limit on digits did the same or ended the router's sums. Fix: numbers are compared before conversion, within stated ranges; one reader of JSON (rpc/json_text.py) with one typed error; a leaving engine's name and phase suffice; the guard round a poll counts what it catches as a fault of this program, with the type. Settings are read by the same means.

--- a/tests/relay/test_config.py
+++ b/tests/relay/test_config.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import json
 import resource
+from contextlib import suppress
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from json_values import any_json
 from relay_node import told
 from relay_world import config
 
-from tuliptrack.relay.config import MIN_DESCRIPTORS, RelayConfigError, load
+from tuliptrack.relay.config import MIN_DESCRIPTORS, RelayConfigError, load, parse
 
 
 @pytest.mark.parametrize(
@@ -42,3 +48,38 @@
         assert load({"RELAY_CONFIG": str(path)}).max_descriptors == 200
     finally:
         resource.setrlimit(resource.RLIMIT_NOFILE, system_limits)
+
+
+PLACES = (
+    ("listen",),
+    ("discovery",),
+    ("seed",),
+    ("name",),
+    ("known",),
+    ("limits",),
+    ("limits", "memory_mb"),
+    ("limits", "sockets"),
+    ("settings",),
+    ("settings", "classes"),
+    ("settings", "limits"),
+    ("settings", "limits", "connIdle"),
+    ("settings", "limits", "openCap"),
+    ("settings", "limits", "maxRetryAfter"),
+    ("settings", "obligations", "drainGrace"),
+    ("settings", "reporting"),
+    ("settings", "failureDomains"),
+)
+
+
+@pytest.mark.parametrize("place", PLACES, ids=".".join)
+@given(value=any_json)
+@examples(max_examples=60, deadline=None, derandomize=True)
+def test_any_value_in_the_settings_is_used_or_is_the_typed_error(place: tuple[str, ...], value: Any) -> None:
+    """Failure: an error of another type ends a start with a traceback, and a reload without any line."""
+    file: dict[str, Any] = json.loads(told("127.0.0.1:1"))
+    parent = file
+    for name in place[:-1]:
+        parent = parent.setdefault(name, {})
+    parent[place[-1]] = value
+    with patch("tuliptrack.relay.config.parse_json", return_value=file), suppress(RelayConfigError):
+        parse(b"", {})
--- a/tests/relay/test_discovery.py
+++ b/tests/relay/test_discovery.py
@@ -234,3 +234,24 @@
             await until(lambda: "since=3&" in p.agent.seen[-1].target)
 
     run(go, virtual=True)
+
+
+def test_an_error_that_no_list_should_raise_is_counted_and_polling_goes_on(
+    no_invariant_is_violated: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Failure: an unforeseen error hides among the failed polls, or ends them: the list never changes again."""
+
+    async def go() -> None:
+        async with platform(r0=reads, r1=reads, w0=writes, w1=writes) as p:
+            apply = p.relay.directory.apply
+
+            def fail_once(*args: Any, **options: Any) -> Any:
+                monkeypatch.setattr(p.relay.directory, "apply", apply)
+                raise ZeroDivisionError("of the test")
+
+            monkeypatch.setattr(p.relay.directory, "apply", fail_once)
+            await assert_drain_is_followed(p)
+            assert p.relay.counters.as_dict()["violations_lists_raise_typed_errors"] == 1
+
+    run(go, virtual=True)
+    assert "ZeroDivisionError" in no_invariant_is_violated.pop()
--- /dev/null
+++ b/tests/relay/test_hostile_lists.py
@@ -0,0 +1,130 @@
+"""Endpoint lists with values that JSON allows and nobody expects.
+
+Failure: one field of one entry raises an error that the reader of lists does not foresee. The list is refused
+whole, over and over, and new requests go on to engines that it says are draining.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+from hypothesis import example, given
+from hypothesis import settings as examples
+from json_values import BEYOND_FLOATS, any_json
+from relay_world import Seen, platform, reads, writes
+from world import run, until
+
+from tuliptrack.interface import EndpointListUpdate, EndpointState, RequestClass, Role, Settings
+from tuliptrack.relay.endpoint_directory import EndpointDirectory
+from tuliptrack.relay.endpoint_entries import InvalidEndpointListError, parse_message
+from tuliptrack.routing.router import Router
+
+RECEIVED_WITHIN_S = 6.0
+"""The platform counts a list as received after so long."""
+FIELDS = ("id", "host_port", "locality", "flavor", "phase", "size", "up_since_ms", "cell")
+NOW_US = 5_000_000
+
+
+def entry(name: str, phase: str = "Ready") -> dict[str, Any]:
+    return {
+        "id": name,
+        "host_port": "127.0.0.1:1",
+        "locality": "z",
+        "flavor": "reads",
+        "phase": phase,
+        "size": 1.0,
+        "up_since_ms": 0,
+        "cell": 1,
+    }
+
+
+def full_list(revision: int, *entries: Any) -> dict[str, Any]:
+    return {"revision": revision, "complete": True, "members": list(entries)}
+
+
+def states_by_name(directory: EndpointDirectory, update: EndpointListUpdate | None) -> dict[str, Any]:
+    assert update
+    return {directory.names.get(one.id, ""): one.state for one in update.endpoints}
+
+
+def new_router() -> Router:
+    classes = (RequestClass("c", priority_weight=1.0, latency_objective_us=1_000, deadline_us=9_000),)
+    return Router(Settings(replicas=2, classes=classes, roles=(Role.PREFILL,), max_attempts=2), seed=1)
+
+
+@pytest.mark.parametrize("field", FIELDS)
+@given(value=any_json)
+@example(BEYOND_FLOATS)
+@examples(max_examples=80, deadline=None, derandomize=True)
+def test_no_value_of_an_entry_changes_what_is_read_of_its_neighbours(field: str, value: Any) -> None:
+    """A hostile entry stands before one that says that another engine drains, twice, and once as a delta. The
+    router can use what is left of it."""
+    directory, router = EndpointDirectory(("reads",), ("z",)), new_router()
+    hostile = {**entry("hostile"), field: value}
+    for message in (
+        full_list(1, entry("good")),
+        full_list(2, hostile, entry("good", "Terminating")),
+        full_list(3, hostile, entry("good", "Terminating")),
+        {"revision": 4, "complete": False, "members": [hostile, entry("good", "Terminating")]},
+    ):
+        update = directory.apply(message)
+        assert update
+        router.handle(NOW_US, [update])
+    assert states_by_name(directory, update)["good"] is EndpointState.DRAINING
+
+
+@given(message=any_json, revision=any_json, members=any_json)
+@examples(max_examples=200, deadline=None, derandomize=True)
+def test_any_json_is_a_list_or_the_error_of_lists(message: Any, revision: Any, members: Any) -> None:
+    for one in (message, {"revision": revision, "members": []}, {"revision": 1, "members": members}):
+        try:
+            parse_message(one)
+        except InvalidEndpointListError:
+            continue
+        EndpointDirectory((), ()).apply(one)
+
+
+@pytest.mark.parametrize("field", ["host_port", "locality", "flavor", "size", "up_since_ms", "cell"])
+@pytest.mark.parametrize("phase", ["Terminating", "Gone"])
+def test_an_engine_is_not_ready_whose_own_entry_says_so_beside_a_value_that_cannot_be_used(
+    field: str, phase: str
+) -> None:
+    """In a delta an entry that is left out would leave the engine as it was: ready."""
+    directory = EndpointDirectory(("reads",), ("z",))
+    directory.apply(full_list(1, entry("a"), entry("b")))
+    hostile = {**entry("a", phase), field: [BEYOND_FLOATS]}
+    update = directory.apply({"revision": 2, "complete": False, "members": [hostile]})
+    assert update and [one.state for one in update.endpoints] == [
+        EndpointState.DRAINING if phase == "Terminating" else EndpointState.REMOVED
+    ]
+
+
+@pytest.mark.parametrize("field", ["size", "up_since_ms", "cell"])
+@pytest.mark.parametrize("digits", [400, 5_000])
+def test_no_request_reaches_an_engine_that_a_list_with_a_hostile_entry_calls_draining(
+    field: str, digits: int
+) -> None:
+    """The agent's lists have an entry with a number beyond floats, or beyond Python's limit on digits."""
+
+    async def go() -> None:
+        async with platform(r0=reads, r1=reads, r2=reads, w0=writes) as p:
+            number = "1" + "0" * digits
+            hostile = json.dumps({**entry("hostile"), field: "NUMBER"}).replace('"NUMBER"', number)
+
+            async def answer(one: Seen, writer: asyncio.StreamWriter) -> None:
+                body = json.dumps({"revision": p.revision, "complete": True, "members": p.members()})
+                body = body.replace('"members": [', f'"members": [{hostile}, ')
+                writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body.encode())
+
+            p.agent.script = answer
+            p.tell(r0="Terminating")
+            await until(lambda: p.relay.directory.revision == p.revision, RECEIVED_WITHIN_S)
+            before = len(p.engines["r0"].asked())
+            for _ in range(10):
+                assert (await p.ask()).whole
+            assert len(p.engines["r0"].asked()) == before
+
+    run(go, virtual=True)
--- /dev/null
+++ b/tests/rpc/test_json_text.py
@@ -0,0 +1,43 @@
+"""JSON text from outside: a value, or the one error that callers expect."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as examples
+from hypothesis import strategies as st
+from json_values import any_json
+
+from tuliptrack.rpc.json_text import InvalidJsonError, is_number_within, parse_json
+
+
+@given(text=st.text() | st.binary() | st.text('[]{}":,0123456789.eE+-truefalsn'))
+@examples(max_examples=300, deadline=None, derandomize=True)
+def test_any_text_is_a_value_or_the_typed_error(text: str | bytes) -> None:
+    try:
+        parse_json(text)
+    except InvalidJsonError:
+        return
+    json.loads(text)
+
+
+@pytest.mark.parametrize("text", ["[" * 100_000, '{"a":' * 100_000, b"\xff", "", "nul"])
+def test_nesting_bytes_and_broken_text_are_the_typed_error(text: str | bytes) -> None:
+    with pytest.raises(InvalidJsonError):
+        parse_json(text)
+
+
+def test_a_number_with_too_many_digits_costs_none_of_its_neighbours() -> None:
+    digits = "9" * 5_000
+    assert parse_json(f'{{"a": {digits}, "b": 7, "c": -{digits}}}') == {"a": math.inf, "b": 7, "c": -math.inf}
+
+
+@given(value=any_json)
+@examples(max_examples=200, deadline=None, derandomize=True)
+def test_a_number_is_within_bounds_or_not_whatever_the_value(value: Any) -> None:
+    if is_number_within(value, 0, 2**53):
+        assert 0 <= float(value) <= 2**53
--- a/tuliptrack/lab/hollow/node.py
+++ b/tuliptrack/lab/hollow/node.py
@@ -28,6 +28,7 @@
 from tuliptrack.relay.endpoint_directory import EndpointDirectory
 from tuliptrack.routing.router import Router
 from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.loop_errors import log_fault
 
 __all__ = ["HollowNode", "NodeReport"]
 
@@ -66,7 +67,11 @@
         self.traffic = DrawnTraffic(rates, seed, self._role_of)
         self.report = NodeReport(slot)
         self.source = Discovery(
-            agent, lambda: max(self.directory.revision, 0), self._listed, self.settings.drain_grace_us
+            agent,
+            lambda: max(self.directory.revision, 0),
+            self._listed,
+            self.settings.drain_grace_us,
+            log_fault,
         )
         self._random = Random(seed)
         self._timers: set[asyncio.TimerHandle] = set()
--- a/tuliptrack/relay/agent_polls.py
+++ b/tuliptrack/relay/agent_polls.py
@@ -23,7 +23,6 @@
 
 import asyncio
 import contextlib
-import json
 import random
 from collections import deque
 from collections.abc import Callable
@@ -32,11 +31,13 @@
 
 import structlog
 
+from tuliptrack.relay.endpoint_entries import InvalidEndpointListError
 from tuliptrack.rpc.http1_client import ClientOptions
 from tuliptrack.rpc.http1_exchange import Exchange, How
 from tuliptrack.rpc.http1_pool import Connections, Pool
+from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
 
-__all__ = ["MAX_POLLS_PER_AGENT", "AgentPolls", "ListHandler"]
+__all__ = ["MAX_POLLS_PER_AGENT", "AgentPolls", "FaultHandler", "ListHandler"]
 
 log = structlog.get_logger("discovery")
 LONG_POLL_GRACE_SHARE = 0.25
@@ -59,8 +60,11 @@
 
 ListHandler = Callable[[Any, bool], bool]
 """Handles the JSON of an answer; the second argument says whether it is the first one of its agent, or of a
-restarted agent. Returns whether it was applied, False if it is older than the known list; raises where it
-cannot be used."""
+restarted agent. Returns whether it was applied, False if it is older than the known list; raises
+`InvalidEndpointListError` where it cannot be used."""
+
+FaultHandler = Callable[[Exception], None]
+"""Counts and logs an error that only a fault of this program can raise."""
 
 
 @dataclass(slots=True, eq=False)
@@ -79,25 +83,31 @@
 
         Raises:
             OSError: There is no answer.
-            ValueError: It is not JSON.
+            InvalidJsonError: It is not JSON.
         """
         if self.outcome is not How.ANSWER:
             raise OSError(self.failure)
         if self.exchange.status != _HTTP_OK:
             raise OSError(f"answered {self.exchange.status}")
-        return json.loads(b"".join(self.body))
+        return parse_json(b"".join(self.body))
 
 
 class AgentPolls:
     """Polls one agent from its creation until `stop` or `close`."""
 
     def __init__(
-        self, address: str, drain_grace_s: float, known_revision: Callable[[], int], handle: ListHandler
+        self,
+        address: str,
+        drain_grace_s: float,
+        known_revision: Callable[[], int],
+        handle: ListHandler,
+        record_fault: FaultHandler,
     ) -> None:
         self.address = address
         self._drain_grace_s = drain_grace_s
         self._known_revision = known_revision
         self._handle = handle
+        self._record_fault = record_fault
         self._poll_timeout_s = (LONG_POLL_GRACE_SHARE + LATE_GRACE_SHARE) * drain_grace_s
         """After which a poll is late, and the next one starts beside it."""
         self._needs_full_list = True
@@ -221,17 +231,29 @@
         """Handle a poll that has ended; return the seconds until the next one."""
         try:
             is_applied = self._handle(poll.message(), self._is_first_answer)
-        except Exception as error:  # Polling goes on, whatever an agent answers.
+        except OSError as error:
+            return self._handle_failure(error)
+        except (InvalidJsonError, InvalidEndpointListError) as error:
             # An answer that could not be used may have been a delta, which is missing now.
-            self._needs_full_list = self._needs_full_list or not isinstance(error, OSError)
-            self._log_failure(str(error) or type(error).__name__)
-            return BACKOFF_GRACE_SHARE * self._drain_grace_s * (0.5 + random.random())
+            self._needs_full_list = True
+            return self._handle_failure(error)
+        except Exception as error:
+            # Failure: an answer of an unforeseen form ends the polls by an error that nothing expects. It
+            # would show as a list that never changes again. Polling goes on, and the error is counted.
+            self._needs_full_list = True
+            self._record_fault(error)
+            return self._handle_failure(error)
         self._record_answer(is_applied)
         for other in [other for other in self._open if not other.body]:
             self._cancel(other)
         next_poll_at = poll.started_at + BACKOFF_GRACE_SHARE * self._drain_grace_s
         return max(next_poll_at - self._loop.time(), 0.0)
 
+    def _handle_failure(self, error: Exception) -> float:
+        """Log why a poll failed; return the seconds until the next one."""
+        self._log_failure(str(error) or type(error).__name__)
+        return BACKOFF_GRACE_SHARE * self._drain_grace_s * (0.5 + random.random())
+
     def _record_answer(self, is_applied: bool) -> None:
         # Failure: an agent that restarted counts its revisions from the start, so that each of its lists is
         # older than the known one. It would show as a list that never changes again. A single older answer
--- a/tuliptrack/relay/config.py
+++ b/tuliptrack/relay/config.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import json
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
@@ -13,6 +12,7 @@
 from typing import Any
 
 from tuliptrack.interface import Settings
+from tuliptrack.rpc.json_text import InvalidJsonError, is_number_within, parse_json
 from tuliptrack.simulator_adapter import WireError, settings_of
 
 __all__ = ["RelayConfig", "RelayConfigError", "RelayConfigUnreadableError", "load", "parse"]
@@ -24,7 +24,12 @@
 DEFAULT_MEMORY_MIB = 192
 DEFAULT_MAX_OPEN_REQUESTS = 20_000
 BYTES_PER_MIB = 1_048_576
+MAX_NUMBER = 2**53
+"""Of any number of the file: up to it whole numbers are exact."""
 MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_QUOTED_CHARACTERS = 120
+"""Of a wrong value, in the text of an error."""
 MAX_ERROR_CHARACTERS = 200
 """Of an error's text, since a wrong value may be long."""
 
@@ -105,8 +110,8 @@
         RelayConfigError: The settings cannot be used.
     """
     try:
-        file = json.loads(text)
-    except (ValueError, RecursionError) as error:
+        file = parse_json(text)
+    except InvalidJsonError as error:
         raise RelayConfigUnreadableError(f"not JSON ({error})"[:MAX_ERROR_CHARACTERS]) from None
     if not isinstance(file, dict):
         raise RelayConfigError("not a JSON object")
@@ -118,7 +123,7 @@
         raise RelayConfigError(str(error)) from None
     reporting, policy_limits = _object(policy, "reporting"), _object(policy, "limits")
     return RelayConfig(
-        name=str(file.get("name") or environ.get("RELAY_NAME") or "node"),
+        name=_text(file.get("name") or environ.get("RELAY_NAME") or "node", "name"),
         listen=_address(file.get("listen") or environ.get("RELAY_LISTEN"), "listen"),
         discovery_address=_address(file.get("discovery") or environ.get("RELAY_DISCOVERY"), "discovery"),
         seed=_seed(file.get("seed", "0")),
@@ -129,8 +134,10 @@
         kinds=_names(policy, "hostTypes"),
         zones=_names(policy, "failureDomains"),
         report_names=_names(reporting, "fields") if reporting.get("how") != "silent" else (),
-        engine_idle_timeout_us=int(policy_limits.get("connIdle") or 0),
-        max_open_requests=int(policy_limits.get("openCap") or DEFAULT_MAX_OPEN_REQUESTS),
+        engine_idle_timeout_us=int(_optional_number(policy_limits, "settings.limits.connIdle", 0)),
+        max_open_requests=int(
+            _optional_number(policy_limits, "settings.limits.openCap", DEFAULT_MAX_OPEN_REQUESTS)
+        ),
     )
 
 
@@ -145,9 +152,15 @@
 
 def _number(parent: Mapping[str, Any], name: str, default: float) -> float:
     value = parent.get(name.rpartition(".")[2], default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
-        raise RelayConfigError(f"{name}: must be a number above 0, is {value!r}"[:MAX_ERROR_CHARACTERS])
-    return value
+    if not is_number_within(value, 0, MAX_NUMBER) or not value:
+        raise RelayConfigError(f"{name}: must be a number above 0, is {_quote(value)}")
+    number: float = value
+    return number
+
+
+def _optional_number(parent: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number above 0; the default where there is none, or 0."""
+    return _number(parent, name, default) if parent.get(name.rpartition(".")[2]) else default
 
 
 def _names(parent: Mapping[str, Any], name: str) -> tuple[str, ...]:
@@ -157,17 +170,31 @@
     return tuple(value)
 
 
+def _text(value: object, name: str) -> str:
+    if not isinstance(value, str):
+        raise RelayConfigError(f"{name}: must be a text, is {_quote(value)}")
+    return value
+
+
 def _seed(value: object) -> int:
     try:
         return int(str(value), 16)
-    except ValueError:
-        raise RelayConfigError(
-            f"seed: must be a hexadecimal number, is {value!r}"[:MAX_ERROR_CHARACTERS]
-        ) from None
+    except (ValueError, RecursionError):
+        raise RelayConfigError(f"seed: must be a hexadecimal number, is {_quote(value)}") from None
 
 
 def _address(value: object, name: str) -> str:
-    host, _, port = str(value or "").rpartition(":")
-    if not host or not port.isdigit() or not 0 <= int(port) <= MAX_PORT:
-        raise RelayConfigError(f"{name}: must be host:port, is {value!r}"[:MAX_ERROR_CHARACTERS])
-    return str(value)
+    address = value if isinstance(value, str) else ""
+    host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_port or int(port) > MAX_PORT:
+        raise RelayConfigError(f"{name}: must be host:port, is {_quote(value)}")
+    return address
+
+
+def _quote(value: object) -> str:
+    """Return the beginning of a value's text, for an error."""
+    try:
+        return repr(value)[:MAX_QUOTED_CHARACTERS]
+    except (ValueError, RecursionError):  # Too many digits, or nested too deeply.
+        return f"a {type(value).__name__}"
--- a/tuliptrack/relay/discovery.py
+++ b/tuliptrack/relay/discovery.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tuliptrack.relay.agent_polls import MAX_POLLS_PER_AGENT, AgentPolls, ListHandler
+from tuliptrack.relay.agent_polls import MAX_POLLS_PER_AGENT, AgentPolls, FaultHandler, ListHandler
 
 __all__ = ["MAX_CONNECTIONS", "Discovery"]
 
@@ -28,7 +28,12 @@
     """Polls the agents of the endpoint list; `start`, then `close`."""
 
     def __init__(
-        self, address: str, known_revision: Callable[[], int], handle: ListHandler, drain_grace_us: int
+        self,
+        address: str,
+        known_revision: Callable[[], int],
+        handle: ListHandler,
+        drain_grace_us: int,
+        record_fault: FaultHandler,
     ) -> None:
         """Poll nothing yet.
 
@@ -37,11 +42,13 @@
             known_revision: Returns the revision of the known list, from which on changes are requested.
             handle: Gets each answer.
             drain_grace_us: Within which an endpoint that drains must get no further request.
+            record_fault: Gets each error of `handle` that is none of an answer.
         """
         self.address = address
         """Of the agent that is to be followed, whether or not it has answered."""
         self._known_revision = known_revision
         self._handle = handle
+        self._record_fault = record_fault
         self._drain_grace_s = min(max(drain_grace_us / 1e6, MIN_DRAIN_GRACE_S), MAX_DRAIN_GRACE_S)
         self._followed: AgentPolls | None = None
         self._candidate: AgentPolls | None = None
@@ -89,7 +96,7 @@
                 self._followed, self._candidate = polls, None
             return is_applied
 
-        polls = AgentPolls(address, self._drain_grace_s, self._known_revision, handle)
+        polls = AgentPolls(address, self._drain_grace_s, self._known_revision, handle, self._record_fault)
         return polls
 
     def _leave(self, polls: AgentPolls) -> None:
--- a/tuliptrack/relay/endpoint_directory.py
+++ b/tuliptrack/relay/endpoint_directory.py
@@ -22,6 +22,7 @@
     ReadingTime,
     entry_name,
     parse_message,
+    parse_state,
 )
 from tuliptrack.rpc.clock import now_us, wall_us
 from tuliptrack.sources.start_times import StartTimes
@@ -114,17 +115,30 @@
                 entry = self._read_entry(received_entry, index, now)
             except InvalidEndpointListError as error:
                 self._log_left_out(received_entry, str(error))
-                continue
+                leaving = self._leaving_entry(received_entry)
+                if leaving is None:
+                    continue
+                entry = leaving
             entries[entry.endpoint.id] = self._keep_last_state(entry) if is_older else entry
         return entries
 
     def _read_entry(self, received: object, index: int, now: ReadingTime) -> EndpointEntry:
         name = entry_name(received)
         known = self._entries.get(name) if name is not None else None
-        if known and known.received == received:
+        if known and _is_equal(known.received, received):
             return known
         return self._parser.parse(received, f"members[{index}]", now)
 
+    def _leaving_entry(self, received: object) -> EndpointEntry | None:
+        """Return what is known of an endpoint whose unusable entry still says that it is leaving."""
+        # Failure: an engine drains, and another field of its entry cannot be used. In a delta it would go on
+        # as ready, and show as requests sent there after the drain grace. Its name and its state suffice.
+        state = parse_state(received)
+        known = self._entries.get(entry_name(received) or "")
+        if known is None or state in (None, EndpointState.READY):
+            return None
+        return replace(known, endpoint=replace(known.endpoint, state=state), received={})
+
     def _keep_last_state(self, entry: EndpointEntry) -> EndpointEntry:
         """Return an entry of an older list with the last state that is known of the same incarnation."""
         # Failure: a new agent that lags behind the one before lists an endpoint as ready that has been
@@ -169,9 +183,16 @@
     def _log_left_out(self, entry: object, reason: str) -> None:
         """Log an entry that is left out, once for each field and name."""
         field_and_reason = reason.partition(".")[2]
-        name = str(entry.get("id") if isinstance(entry, dict) else entry)[:MAX_LOGGED_NAME_CHARACTERS]
-        complaint = field_and_reason + name
+        name = entry_name(entry) or ""
+        complaint = field_and_reason + name[:MAX_LOGGED_NAME_CHARACTERS]
         if complaint in self._logged or len(self._logged) >= MAX_LOGGED_ENTRIES:
             return
         self._logged.add(complaint)
         log.warning("endpoint list entry left out", reason=reason)
+
+
+def _is_equal(known: object, received: object) -> bool:
+    try:
+        return known == received
+    except RecursionError:  # Nested too deeply to be compared, and no list that can be used.
+        return False
--- a/tuliptrack/relay/endpoint_entries.py
+++ b/tuliptrack/relay/endpoint_entries.py
@@ -7,13 +7,14 @@
 
 from __future__ import annotations
 
-import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 from tuliptrack.interface import EndpointInfo, EndpointState
 from tuliptrack.node.request_reader import key
+from tuliptrack.rpc.json_text import is_number_within
 from tuliptrack.sources.start_times import StartTimes
 
 __all__ = [
@@ -25,15 +26,21 @@
     "ReadingTime",
     "entry_name",
     "parse_message",
+    "parse_state",
 ]
 
 MAX_ENDPOINTS = 10_000
 """Entries of one list: a bound on memory and time, above any fleet of the platform."""
 MAX_PORT = 65_535
+MAX_WEIGHT = 1e9
+MAX_CELL = 2**53
+MAX_STARTED_AT_MS = 2**53
 MAX_QUOTED_CHARACTERS = 40
 """Of a wrong value, in the text of an error."""
 MAX_QUOTED_ADDRESS_CHARACTERS = 80
 US_PER_MS = 1_000
+_ADDRESS = re.compile(r"[\x21-\x7e]+:[0-9]{1,5}")
+"""Printable ASCII: the address goes into the `Host` field of requests."""
 
 _STATES = {
     "Ready": EndpointState.READY,
@@ -102,6 +109,11 @@
     return name if isinstance(name, str) else None
 
 
+def parse_state(entry: object) -> EndpointState | None:
+    """Return the state that an entry gives its endpoint; None where it gives none that is known."""
+    return _STATES.get(_text(entry, "phase")) if isinstance(entry, dict) else None
+
+
 class EntryParser:
     """Reads entries by the kinds and zones of the settings, both numbered in their order there."""
 
@@ -121,18 +133,21 @@
         name = entry_name(entry)
         if not name:
             raise InvalidEndpointListError(f"{place}.id: is required")
-        state = _STATES.get(str(entry.get("phase")))
+        try:
+            endpoint_id = key(name)
+        except UnicodeEncodeError:
+            raise InvalidEndpointListError(f"{place}.id: {_quote(name)} has a lone surrogate") from None
+        state = parse_state(entry)
         if state is None:
             raise InvalidEndpointListError(f"{place}.phase: {_quote(entry.get('phase'))} is unknown")
         # A change may state only the name and the phase of an endpoint that has been removed.
         is_removed = state is EndpointState.REMOVED
         kind = self._parse_kind(entry, place, is_removed)
         address = _parse_address(entry, place, is_removed)
-        weight = _parse_number(entry, "size", place, default=1.0)
-        started_at_ms = _parse_number(entry, "up_since_ms", place, default=0)
-        cell = _parse_number(entry, "cell", place, default=0)
+        weight = _parse_number(entry, "size", place, default=1.0, maximum=MAX_WEIGHT)
+        started_at_ms = _parse_number(entry, "up_since_ms", place, default=0, maximum=MAX_STARTED_AT_MS)
+        cell = _parse_number(entry, "cell", place, default=0, maximum=MAX_CELL)
         zone = self._parse_zone(entry, place, is_removed)
-        endpoint_id = key(name)
         started_at_us = self._start_times.to_monotonic_us(
             endpoint_id, int(started_at_ms * US_PER_MS), now.monotonic_us, now.wall_us
         )
@@ -142,7 +157,7 @@
         return EndpointEntry(entry, endpoint, address, name, entry.get("up_since_ms", 0))
 
     def _parse_kind(self, entry: Mapping[str, Any], place: str, is_removed: bool) -> int:
-        kind = self._kinds.get(str(entry.get("flavor")))
+        kind = self._kinds.get(_text(entry, "flavor"))
         if kind is None and not is_removed:
             raise InvalidEndpointListError(
                 f"{place}.flavor: {_quote(entry.get('flavor'))} is not among the settings' kinds"
@@ -151,7 +166,7 @@
 
     def _parse_zone(self, entry: Mapping[str, Any], place: str, is_removed: bool) -> int:
         default = None if self._zones else 0
-        zone = self._zones.get(str(entry.get("locality")), default)
+        zone = self._zones.get(_text(entry, "locality"), default)
         if zone is None and not is_removed:
             raise InvalidEndpointListError(
                 f"{place}.locality: {_quote(entry.get('locality'))} is not among the settings' zones"
@@ -160,24 +175,40 @@
 
 
 def _parse_address(entry: Mapping[str, Any], place: str, is_removed: bool) -> str:
-    address = str(entry.get("host_port", ""))
+    address = _text(entry, "host_port")
     if is_removed:
         return address
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    port = address.rpartition(":")[2]
+    if not _ADDRESS.fullmatch(address) or not 0 < int(port) <= MAX_PORT:
         quoted = repr(address[:MAX_QUOTED_ADDRESS_CHARACTERS])
         raise InvalidEndpointListError(f"{place}.host_port: must be host:port, is {quoted}")
     return address
 
 
-def _parse_number(entry: Mapping[str, Any], name: str, place: str, default: float) -> float:
+def _parse_number(
+    entry: Mapping[str, Any], name: str, place: str, *, default: float, maximum: float
+) -> float:
     value = entry.get(name, default)
-    is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if not is_number or not math.isfinite(value) or value < 0:
-        raise InvalidEndpointListError(f"{place}.{name}: must be a number from 0, is {_quote(value)}")
+    if not is_number_within(value, 0, maximum):
+        raise InvalidEndpointListError(
+            f"{place}.{name}: must be a number from 0 to {maximum:.0f}, is {_quote(value)}"
+        )
     number: float = value
     return number
 
 
+def _text(entry: Mapping[str, Any], name: str) -> str:
+    """Return a field's text; an empty one where it has none."""
+    value = entry.get(name, "")
+    is_printable = isinstance(value, str) or is_number_within(value, 0, MAX_CELL)
+    return str(value) if is_printable else ""
+
+
 def _quote(value: object) -> str:
-    return repr(str(value)[:MAX_QUOTED_CHARACTERS])
+    """Return the beginning of a value's text, for an error."""
+    # Failure: a value that is nested deeply, or a number with thousands of digits, has no text. It would
+    # show as a list that is refused whole for one entry.
+    try:
+        return repr(str(value)[:MAX_QUOTED_CHARACTERS])
+    except (ValueError, RecursionError):
+        return f"a {type(value).__name__}"
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -101,6 +101,7 @@
             lambda: max(self.directory.revision, 0),
             lambda message, is_first: self.apply_list(message, is_new_agent=is_first),
             config.settings.drain_grace_us,
+            self._record_list_fault,
         )
         self._last_rejection = ""
         """Why the last list was rejected, so that it is logged once."""
@@ -252,6 +253,10 @@
             self._readiness_timer.cancel()
             self._readiness_timer, self.front.is_ready = None, True
 
+    def _record_list_fault(self, error: Exception) -> None:
+        """Count and log an error that no endpoint list should be able to raise."""
+        self.counters.violated("lists_raise_typed_errors", type=type(error).__name__, reason=str(error))
+
     def _log_rejection(self, reason: str) -> None:
         if reason != self._last_rejection:
             self._last_rejection = reason
--- a/tuliptrack/rpc/loop_errors.py
+++ b/tuliptrack/rpc/loop_errors.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-__all__ = ["log_loop_errors"]
+__all__ = ["log_fault", "log_loop_errors"]
 
 log = structlog.get_logger("loop")
 
@@ -22,6 +22,11 @@
     loop.set_exception_handler(_log)
 
 
+def log_fault(error: Exception) -> None:
+    """Log an error that only a fault of this program can raise, with its type and its traceback."""
+    log.error("fault of this program", type=type(error).__name__, reason=str(error), exc_info=error)
+
+
 def _log(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
     error = context.get("exception")
     if isinstance(error, OSError):
--- a/tuliptrack/simulator_adapter/settings.py
+++ b/tuliptrack/simulator_adapter/settings.py
@@ -38,7 +38,7 @@
     """
     try:
         environment = json.loads(text)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise WireError(f"settings: not JSON ({error})") from None
     return settings_of(environment)
 
@@ -55,7 +55,7 @@
         return _settings(environment)
     except KeyError as error:
         raise WireError(f"settings: key {error.args[0]!r} is missing") from None
-    except (TypeError, ValueError, AttributeError, IndexError) as error:
+    except (TypeError, ValueError, AttributeError, IndexError, OverflowError, RecursionError) as error:
         raise WireError(f"settings: {error}") from None
 
 
