A load report that cannot be used costs no answer

What callers saw: 503 for a request that its engine had answered in full, when x-load-report (head or comment) had a whole number beyond floats. Cause: load_reports.py asked isfinite of it, which raises OverflowError; the error left the handler and asyncio ended the connection, so the attempt was a reset. Fix: numbers are compared before conversion; an unusable report is ignored and counted (load_reports_ignored). Token counts of engines are taken from 0 to 2^31 only. The gRPC client takes an unreadable answer to Hold for a no.

--- a/tuliptrack/node/grpc_engine_client.py
+++ b/tuliptrack/node/grpc_engine_client.py
@@ -215,11 +215,7 @@
         responses: list[bytes] = []
 
         def handle_end(end: End) -> None:
-            is_reserved = (
-                end.status.code is Code.OK
-                and bool(responses)
-                and engine_pb2.HoldResponse.FromString(responses[0]).held
-            )
+            is_reserved = end.status.code is Code.OK and bool(responses) and _is_reserved(responses[0])
             self.core.reservation_answered(record, attempt, endpoint_id, is_reserved)
 
         request = engine_pb2.HoldRequest(work=_work(record, attempt))
@@ -258,6 +254,14 @@
             channel.close_idle()
 
 
+def _is_reserved(data: bytes) -> bool:
+    """Return whether an engine has reserved a place; an answer that cannot be read says no."""
+    try:
+        return engine_pb2.HoldResponse.FromString(data).held
+    except DecodeError:
+        return False
+
+
 def _is_next_token(record: RequestRecord, message: generation_pb2.GenerateResponse) -> bool:
     """Return whether this is the next token: none reaches a client twice, out of order or after the last."""
     return message.index == record.next_index and not record.finish_reason
--- a/tuliptrack/relay/event_stream.py
+++ b/tuliptrack/relay/event_stream.py
@@ -7,17 +7,20 @@
 
 from __future__ import annotations
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import cast
 
 from tuliptrack.relay.load_reports import REPORT_FIELD, parse_load_report
+from tuliptrack.rpc.json_text import is_number_within, parse_json
 
-__all__ = ["JSON_FIELD_ERRORS", "EventStream", "MalformedStreamError", "StreamUsage"]
+__all__ = ["JSON_FIELD_ERRORS", "EventStream", "MalformedStreamError", "StreamUsage", "token_count"]
 
 MAX_EVENT_BYTES = 65_536
 """Of an event that has not arrived in full; beyond it the stream is malformed."""
-JSON_FIELD_ERRORS = (ValueError, TypeError, KeyError, RecursionError, OverflowError)
+MAX_TOKEN_COUNT = 2**31
+"""Of one prompt or answer; a greater count is taken for a mistake."""
+JSON_FIELD_ERRORS = (ValueError, TypeError, KeyError)
 """What reading a field of unchecked JSON may raise."""
 _SEPARATOR = b"\n\n"
 _COMMENT = b":"
@@ -41,7 +44,14 @@
 class EventStream:
     """The event stream of one answer. Bound: `MAX_EVENT_BYTES` and one piece of the body."""
 
-    __slots__ = ("_buffer", "_record_usage", "_report_names", "has_last_event", "load_report")
+    __slots__ = (
+        "_buffer",
+        "_record_usage",
+        "_report_names",
+        "has_last_event",
+        "ignored_reports",
+        "load_report",
+    )
 
     def __init__(self, report_names: tuple[str, ...], record_usage: Callable[[StreamUsage], None]) -> None:
         """Expect the first byte of the stream.
@@ -54,6 +64,8 @@
         self._buffer = bytearray()
         self.load_report: tuple[float, ...] = ()
         """The last valid one; empty before it."""
+        self.ignored_reports = 0
+        """Load reports that could not be used."""
         self.has_last_event = False
         """Whether the engine has marked the stream as complete."""
 
@@ -92,7 +104,9 @@
     def _read_comment(self, event: bytes) -> None:
         name, _, value = event.removeprefix(_COMMENT).decode("latin-1").partition(":")
         if name.strip().lower() == REPORT_FIELD:
-            self.load_report = parse_load_report(value, self._report_names) or self.load_report
+            report = parse_load_report(value, self._report_names)
+            self.ignored_reports += not report
+            self.load_report = report or self.load_report
 
     def _read_data(self, text: bytes) -> None:
         if text == _LAST_EVENT:
@@ -104,11 +118,22 @@
 def _parse_usage(text: bytes) -> StreamUsage | None:
     """Return the token counts of an event, or None if they cannot be read: they are meant for the client."""
     try:
-        usage = json.loads(text)["usage"]
-        cached_tokens = int(usage["prompt_tokens_details"]["cached_tokens"])
+        usage = parse_json(text)["usage"]
+        cached_tokens = token_count(usage["prompt_tokens_details"]["cached_tokens"])
     except JSON_FIELD_ERRORS:
         return None
     try:
-        return StreamUsage(cached_tokens, int(usage["completion_tokens"]))
+        return StreamUsage(cached_tokens, token_count(usage["completion_tokens"]))
     except JSON_FIELD_ERRORS:
         return StreamUsage(cached_tokens, None)
+
+
+def token_count(value: object) -> int:
+    """Return a count of tokens from unchecked JSON.
+
+    Raises:
+        ValueError: It is none.
+    """
+    if not is_number_within(value, 0, MAX_TOKEN_COUNT):
+        raise ValueError("must be a count of tokens")
+    return int(cast(float, value))
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import cast
 
 import structlog
@@ -18,11 +17,18 @@
 from tuliptrack.node.port import AttemptResult
 from tuliptrack.node.requests import Attempt, KvStateLocation, RequestRecord
 from tuliptrack.relay.corroboration import Corroboration
-from tuliptrack.relay.event_stream import JSON_FIELD_ERRORS, EventStream, MalformedStreamError, StreamUsage
+from tuliptrack.relay.event_stream import (
+    JSON_FIELD_ERRORS,
+    EventStream,
+    MalformedStreamError,
+    StreamUsage,
+    token_count,
+)
 from tuliptrack.relay.forwarded_request import ForwardedRequest
 from tuliptrack.relay.load_reports import REPORT_FIELD, parse_load_report
 from tuliptrack.rpc.h1 import Answer
 from tuliptrack.rpc.http1_exchange import Exchange, How
+from tuliptrack.rpc.json_text import parse_json
 
 __all__ = ["HttpAttempt"]
 
@@ -124,6 +130,7 @@
         for name, value in head.fields:
             if name == REPORT_FIELD:
                 self._head_load_report = parse_load_report(value, self._report_names)
+                self._stream.ignored_reports += not self._head_load_report
             elif name == _REJECTED_FIELD and value.strip() == "1":
                 self._is_rejected = True
 
@@ -161,6 +168,8 @@
 
     def _handle_end(self, outcome: How, failure: str) -> None:
         self._corroboration.close()
+        if self._report_names and self._stream.ignored_reports:
+            self._core.counters.add("load_reports_ignored", self._stream.ignored_reports)
         self._core.attempt_ended(self._record, self._attempt, self._result(outcome, failure))
 
     def _result(self, outcome: How, failure: str) -> AttemptResult:
@@ -240,6 +249,6 @@
     def _cached_tokens(self) -> int:
         """Return how much of the prompt the prefill found cached; 0 where its answer does not say."""
         try:
-            return int(json.loads(bytes(self._body))["cached_tokens"])
+            return token_count(parse_json(bytes(self._body))["cached_tokens"])
         except JSON_FIELD_ERRORS:
             return 0
--- a/tuliptrack/relay/load_reports.py
+++ b/tuliptrack/relay/load_reports.py
@@ -1,17 +1,19 @@
-"""Reads the load reports of engines: a JSON object in a header field or in a comment of an event stream."""
+"""Reads the load reports of engines: a JSON object in a header field or in a comment of an event stream.
+
+A report is advice: one that cannot be used is ignored, and the answer that it came with goes on.
+"""
 
 from __future__ import annotations
 
-import json
-import math
 from collections.abc import Mapping
-from typing import Any
+
+from tuliptrack.rpc.json_text import InvalidJsonError, is_number_within, parse_json
 
 __all__ = ["REPORT_FIELD", "parse_load_report"]
 
 REPORT_FIELD = "x-load-report"
 MAX_REPORTED_VALUE = 1e9
-"""A greater value is taken for a mistake: counts, shares and seconds stay far below."""
+"""This and greater values are taken for a mistake: counts, shares and seconds stay far below."""
 
 
 def parse_load_report(text: str | bytes, names: tuple[str, ...]) -> tuple[float, ...]:
@@ -20,16 +22,12 @@
     A value that is missing counts as 0.
     """
     try:
-        report = json.loads(text)
-    except (ValueError, RecursionError):
+        report = parse_json(text)
+    except InvalidJsonError:
         return ()
     if not isinstance(report, Mapping):
         return ()
     values = tuple(report.get(name, 0.0) for name in names)
-    return tuple(float(value) for value in values) if all(map(_is_valid, values)) else ()
-
-
-def _is_valid(value: Any) -> bool:
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        return False
-    return math.isfinite(value) and 0 <= value < MAX_REPORTED_VALUE
+    is_usable = all(is_number_within(value, 0, MAX_REPORTED_VALUE) for value in values)
+    is_usable = is_usable and MAX_REPORTED_VALUE not in values
+    return tuple(float(value) for value in values) if is_usable else ()
