A rejection promises a harmless repeat only within the deduplication window

What callers may see: 503 with a Retry-After after a request with a key may have executed; the repeat comes after the window, and the effect twice. Cause: routing/idempotency.py took scope ALL for enough whatever the window had left; node/attempt_state.py answered the same question otherwise. Fix: one function for both callers. The repeat's latest arrival (now, largest Retry-After, the class's deadline in another node's queues, 0.15 s of stall) has to lie within the window counted from sending. Tests: two of test_rules.py held the fault (Reject after the window) and are replaced by Fail; the judge of test_sequences.py gained the window. The oracle's copy has the same rule, so that it goes on comparing event by event.

--- a/tests/node/test_attempt_state.py
+++ b/tests/node/test_attempt_state.py
@@ -8,16 +8,15 @@
 
 from tuliptrack.interface import EndpointState, Idempotency
 from tuliptrack.node.attempt_state import (
-    NODE_STALL_US,
     Delivery,
     Verdict,
     has_arrived,
     may_have_executed,
-    may_reject,
     may_retry,
     may_send,
     retry_by_us,
 )
+from tuliptrack.routing.idempotency import NODE_STALL_US
 
 WINDOW_US = 2_000_000
 
@@ -76,8 +75,3 @@
         == retry_by_us(Idempotency.WITH_KEY, 0, WINDOW_US)
         == 0
     )
-
-
-def test_only_what_had_no_effect_is_rejected() -> None:
-    assert may_reject(Idempotency.IDEMPOTENT, True) and may_reject(Idempotency.NOT_IDEMPOTENT, False)
-    assert not may_reject(Idempotency.NOT_IDEMPOTENT, True) and not may_reject(Idempotency.WITH_KEY, True)
--- a/tests/oracle/brain.py
+++ b/tests/oracle/brain.py
@@ -57,6 +57,7 @@
 SILENCE_RATIO = 2.5  # times the pace of the slowest fifth of answers at which an attempt counts as silent
 SILENCE_STEP = 1.5  # growth of that time at each further silence of one request: no retry storm in a slowness
 LOST_MOST = 0.7  # share of silent attempts past which it's a jam, not lost answers: then all are waited for
+STALL_US = 150_000  # microseconds for which a node may stand still between its clock and the wire
 EARLY = 0.08  # share of the aim by which a server without room says `full`; later, it holds back a tenant
 FULL_MOST = 0.4  # share of attempts turned away at once past which a request isn't offered to one more server
 TYPICAL_OF = 15  # answers of one role by whose slowest fifth this node knows its pace
@@ -678,8 +679,10 @@
             self.out.append(Release(request_id))
         if flight.ended:
             return
+        back_by = self.now + self.settings.max_retry_after_us + flight.cls.deadline_us + STALL_US
         harmless = flight.effect is None or flight.cls.idempotency is Idempotency.IDEMPOTENT or (
-            flight.cls.idempotency is Idempotency.WITH_KEY and flight.cls.idempotency_scope is IdempotencyScope.ALL)
+            flight.cls.idempotency is Idempotency.WITH_KEY and flight.cls.idempotency_scope is IdempotencyScope.ALL
+            and back_by <= flight.effect[0] + flight.cls.deduplication_window_us)
         if harmless and self.now < flight.due:
             wait = min(flight.wait, self.settings.max_retry_after_us) if self.settings.may_send_retry_after else 0
             self.out.append(Reject(request_id, wait))
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -26,7 +26,7 @@
 from world import run, until
 
 from tuliptrack.interface import Action, Event, LogMessage, Reject, Request, Role
-from tuliptrack.node.attempt_state import NODE_STALL_US
+from tuliptrack.routing.idempotency import NODE_STALL_US
 
 
 def test_a_request_passes_unchanged_to_a_reader_and_a_writer_and_its_events_come_back() -> None:
--- a/tests/routing/test_rules.py
+++ b/tests/routing/test_rules.py
@@ -99,7 +99,7 @@
     number, said = w.ask()
     said = w.end(number, only(SendAttempt, said).endpoint_id, Status.TIMEOUT, after=after)
     outside = effect is Idempotency.WITH_KEY and after > 3 * S
-    only(Reject if outside else answer, said)
+    only(Fail if outside else answer, said)
     assert bool([action for action in said if isinstance(action, SendAttempt)]) is (
         answer is SendAttempt and not outside
     )
@@ -171,8 +171,8 @@
     w = world(effect=Idempotency.WITH_KEY)
     number, at = to_writer(w)
     said = w.end(number, at, Status.RESET, after=3_100 * MS)
-    none(said, SendAttempt)
-    only(Reject, said)
+    none(said, SendAttempt, Reject)
+    only(Fail, said)
 
 
 def test_rule_2_keyed_by_zone_can_be_failed_but_not_refused() -> None:
--- a/tests/routing/test_sequences.py
+++ b/tests/routing/test_sequences.py
@@ -119,6 +119,12 @@
                 assert self.effect is Idempotency.IDEMPOTENT or (
                     self.effect is Idempotency.WITH_KEY and self.scope is IdempotencyScope.ALL
                 ), "rule 2: refused unproved"
+                sent, _ = life.may_have_run
+                cls = self.settings.classes[0]
+                repeated_by = self.now + self.settings.max_retry_after_us + cls.deadline_us
+                assert self.effect is Idempotency.IDEMPOTENT or (
+                    repeated_by <= sent + cls.deduplication_window_us
+                ), "rule 2: refused, and its repeat may come after the window"
             life.answered = True
         elif isinstance(action, Release):
             self.lives[action.request_id].state = False
--- a/tuliptrack/node/attempt_state.py
+++ b/tuliptrack/node/attempt_state.py
@@ -1,7 +1,7 @@
-"""Decides what the state of an attempt allows now: to send, to retry, to release, to reject.
+"""Decides what the state of an attempt allows now: to send, to retry, to release.
 
-It is asked after the router has decided: before each attempt is written, before each release, and for the
-requests that are concluded at shutdown.
+It is asked after the router has decided: before each attempt is written, and before each release. Whether a
+request may be rejected is decided in `routing/idempotency.py`, for the router and for the end of a node.
 
     NOT_SENT ──▶ POSSIBLE ──▶ (CORROBORATED ──▶) CONFIRMED ──▶ ended
 
@@ -20,23 +20,18 @@
 from enum import Enum
 
 from tuliptrack.interface import EndpointState, Idempotency
+from tuliptrack.routing.idempotency import NODE_STALL_US
 
 __all__ = [
-    "NODE_STALL_US",
     "Delivery",
     "Verdict",
     "has_arrived",
     "may_have_executed",
-    "may_reject",
     "may_retry",
     "may_send",
     "retry_by_us",
 ]
 
-NODE_STALL_US = 150_000
-"""How long a node may be stalled between reading its clock and the bytes on the wire (the platform's
-figure)."""
-
 
 class Delivery(Enum):
     """How far an attempt has come, as far as this node can know."""
@@ -131,13 +126,3 @@
     if not executed_at_us or idempotency is not Idempotency.WITH_KEY:
         return 0
     return executed_at_us + max(window_us - NODE_STALL_US, window_us // 2)
-
-
-def may_reject(idempotency: Idempotency, has_executed: bool) -> bool:
-    """Return whether the final answer may promise that a retry by the client is harmless.
-
-    Args:
-        idempotency: what a repetition of the request does.
-        has_executed: an attempt of the request may have had an effect.
-    """
-    return not has_executed or idempotency is Idempotency.IDEMPOTENT
--- a/tuliptrack/node/final_answers.py
+++ b/tuliptrack/node/final_answers.py
@@ -1,7 +1,7 @@
 """Gives requests their final answers: rejected, failed, broken off, or migrated.
 
-A request is rejected only where a retry by the client is harmless; everything else fails. The router decides
-it for its own `Reject` (`routing/idempotency.py`), at shutdown `attempt_state.may_reject` does.
+A request is rejected only where a retry by the client is harmless; everything else fails. One rule decides
+it (`routing/idempotency.py`): the router asks it for its own `Reject`, and this module at shutdown.
 `RequestRecord.conclude` sees to it that each request gets one final answer.
 """
 
@@ -9,10 +9,11 @@
 
 from tuliptrack import interface as io
 from tuliptrack.fronts.port import Failure
-from tuliptrack.node.attempt_state import may_have_executed, may_reject
+from tuliptrack.node.attempt_state import may_have_executed
 from tuliptrack.node.core_state import CoreState
 from tuliptrack.node.request_state import RequestState
 from tuliptrack.node.requests import Attempt, RequestRecord
+from tuliptrack.routing.idempotency import may_reject
 
 __all__ = ["FinalAnswers"]
 
@@ -76,14 +77,19 @@
     def conclude_at_shutdown(self, record: RequestRecord) -> None:
         """Give an open request its final answer, as the node ends.
 
-        It is rejected only where nothing of it can have executed.
+        It is rejected only where a repeat by its client is harmless.
         """
         reason = "this node has shut down"
         if record.state is RequestState.STREAMING:
             self.break_stream(record, Failure.BROKEN, reason, io.Status.CANCELLED)
             return
-        has_executed = self._may_have_executed(record.attempt) or record.executed_at_us > 0
-        if may_reject(self._core.class_of(record).idempotency, has_executed):
+        is_repeat_harmless = may_reject(
+            self._core.class_of(record),
+            self._executed_at_us(record),
+            self._core.now(),
+            self._core.settings.max_retry_after_us,
+        )
+        if is_repeat_harmless:
             self.reject(record, reason, 0)
         else:
             self.fail(record, Failure.LOST, reason)
@@ -91,8 +97,15 @@
         self._core.dispatch(io.ClientDisconnected(record.id))
         self._core.settle(record)
 
-    def _may_have_executed(self, attempt: Attempt | None) -> bool:
+    def _executed_at_us(self, record: RequestRecord) -> int | None:
+        """When the first attempt was sent that may have had an effect; None: none may have."""
+        if record.executed_at_us:
+            return record.executed_at_us
+        attempt = record.attempt
+        return attempt.sent_at_us if attempt and self._may_have_executed(attempt) else None
+
+    def _may_have_executed(self, attempt: Attempt) -> bool:
         """Whether an attempt that is cancelled now may have had an effect, or may still have one."""
-        if attempt is None or (attempt.is_prefill and self._core.engines.prefills_have_no_effect):
+        if attempt.is_prefill and self._core.engines.prefills_have_no_effect:
             return False
         return attempt.call is None or may_have_executed(attempt.call.delivery())
--- a/tuliptrack/routing/router.py
+++ b/tuliptrack/routing/router.py
@@ -44,7 +44,7 @@
 from tuliptrack.routing.attempt_timeout import AttemptTimeout
 from tuliptrack.routing.decode_placement import DecodePlacement
 from tuliptrack.routing.eligibility import Eligibility
-from tuliptrack.routing.idempotency import is_safe_to_retry
+from tuliptrack.routing.idempotency import may_reject
 from tuliptrack.routing.locality import Locality
 from tuliptrack.routing.node_state import NodeState
 from tuliptrack.routing.outbox import Outbox
@@ -306,7 +306,14 @@
             self.outbox.add(Release(request_id))
         if request.is_concluded:
             return
-        if not is_safe_to_retry(request) or self.state.now_us >= request.deadline_us:
+        execution, now_us = request.first_execution, self.state.now_us
+        is_repeat_harmless = may_reject(
+            request.request_class,
+            execution.sent_at_us if execution else None,
+            now_us,
+            self.settings.max_retry_after_us,
+        )
+        if not is_repeat_harmless or now_us >= request.deadline_us:
             self.outbox.add(Fail(request_id))
             return
         retry_after_us = 0
