A client's own short deadline no longer counts as an overload of the node

What callers saw: with one client a second that has 20 ms left, silent attempts had no time-out and slow engines were not ejected, for all clients of the node. Cause: admission.py set shed_at_us for every request that it shed, also where only that client's time was too short. Evidence: forty nodes beside a hanging engine, 65 of 71 attempts there lost on, and no stream of a slow engine migrated. Fix: ShedReason parts the two; a request counts for overload where the queue is over the limit or its first token would be late for its class. The advised wait is never negative. The oracle's copy has the same rule.

--- a/tests/oracle/brain.py
+++ b/tests/oracle/brain.py
@@ -193,8 +193,9 @@
         roles = (Role.PREFILL, Role.DECODE) if reader and reader.role is Role.PREFILL else (Role.PREFILL_AND_DECODE,)
         soonest = sum(self.kinds[role, False].quick for role in roles) * aim  # Till a first token, if quick.
         refuse = look > most or max(look, soonest) > request.time_left_us
-        self.refused_at = self.now if refuse else self.refused_at
-        flight.wait = int(look - most) if refuse else 0  # Till what waits may be down to the threshold.
+        jammed = look > most or max(look, soonest) > aim  # Else only this client's own time is too short.
+        self.refused_at = self.now if refuse and jammed else self.refused_at
+        flight.wait = max(int(look - most), 0) if refuse else 0  # Till what waits may be down to the threshold.
         self._note("shedding load by priority", self.now - self.refused_at < CALM_US)
         self._send(flight, None if refuse else reader)
 
--- a/tuliptrack/routing/admission.py
+++ b/tuliptrack/routing/admission.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from tuliptrack.interface import Request, Role, Settings
 from tuliptrack.routing.eligibility import Eligibility
@@ -23,7 +24,7 @@
 from tuliptrack.state.endpoint import Endpoint
 from tuliptrack.state.in_flight import InFlightRequest
 
-__all__ = ["SHEDDING_CONDITION", "Admission", "AdmissionInputs"]
+__all__ = ["SHEDDING_CONDITION", "Admission", "AdmissionInputs", "ShedReason"]
 
 SHEDDING_CONDITION = "shedding load by priority"
 """How logs name the time in which requests are shed."""
@@ -33,6 +34,15 @@
 """Multiple of the queue limit above which the highest priority is shed too: most of it would only be late."""
 
 
+class ShedReason(Enum):
+    """Why a request is shed."""
+
+    OVERLOAD = "overload"
+    """Its first token would come too late for its class: capacity is short."""
+    CLIENT_DEADLINE = "the client's deadline is too short"
+    """Its first token would come in time for its class, and too late for this client."""
+
+
 @dataclass(slots=True)
 class _Placement:
     """Where a request could start, and its estimated time to first token there."""
@@ -68,13 +78,15 @@
         self._inputs.locality.record_arrival()
         limit_us = priority_factor * MAX_QUEUE_SHARE * request.latency_objective_us
         placement = self._best_placement(request, priority_factor, limit_us)
-        is_shed = placement.wait_us > limit_us or self._cannot_be_in_time(request, placement)
-        if is_shed:
+        shed_reason = self._shed_reason(request, placement, limit_us)
+        # Failure: a few clients with hardly any time left count as an overload. It would show as silent
+        # attempts without a time-out and slow endpoints that are not ejected, for all clients of the node.
+        if shed_reason is ShedReason.OVERLOAD:
             state.shed_at_us = state.now_us
         # Until what waits may be down to the limit.
-        request.retry_after_us = int(placement.wait_us - limit_us) if is_shed else 0
+        request.retry_after_us = max(int(placement.wait_us - limit_us), 0) if shed_reason else 0
         self._outbox.announce(SHEDDING_CONDITION, state.is_shedding)
-        return None if is_shed else placement.endpoint
+        return None if shed_reason else placement.endpoint
 
     def _priority_factor(self, request: Request) -> float:
         """Return the multiple of the queue limit that applies to a request of this priority."""
@@ -134,10 +146,18 @@
             return alternative
         return placement
 
-    def _cannot_be_in_time(self, request: InFlightRequest, placement: _Placement) -> bool:
-        """Whether the client leaves before a first token usually comes."""
+    def _shed_reason(
+        self, request: InFlightRequest, placement: _Placement, limit_us: float
+    ) -> ShedReason | None:
+        """Return why a request is shed, or None if it is admitted."""
+        if placement.wait_us > limit_us:
+            return ShedReason.OVERLOAD
         fastest_us = self._inputs.queue.fastest_time_to_first_token_us(request, placement.endpoint)
-        return max(placement.wait_us, fastest_us) > request.request.time_left_us
+        first_token_us = max(placement.wait_us, fastest_us)
+        if first_token_us <= request.request.time_left_us:
+            return None
+        is_late_for_class = first_token_us > request.latency_objective_us
+        return ShedReason.OVERLOAD if is_late_for_class else ShedReason.CLIENT_DEADLINE
 
 
 def _priority_range(settings: Settings) -> tuple[float, float]:
