Signals of a process are handled once, from its first line to its end

What operators saw: one SIGHUP reloaded twice (two lines 'settings not reloaded'); SIGTERM during a start ended the node by -15, a signal in its last moment by -1. Cause: an early handler and the loop's wakeup descriptor both took a SIGHUP until the loop's own handler was set; at its close the loop sets signals back to their defaults. Fix: one way in (rpc/process_signals.py) for node, serve, agent, controller and stand-in engine: recorded from the start, handed to the loop while blocked, handled once a turn, blocked at the end.

--- a/tests/relay/test_process_failures.py
+++ b/tests/relay/test_process_failures.py
@@ -216,6 +216,113 @@
     run(go)
 
 
+SIGHUP_AS_THE_LOOP_TAKES_OVER = """
+import asyncio, os, signal
+_register = asyncio.unix_events._UnixSelectorEventLoop.add_signal_handler
+def register(loop, number, *args):
+    if number == signal.SIGHUP:
+        os.kill(os.getpid(), signal.SIGHUP)
+    _register(loop, number, *args)
+asyncio.unix_events._UnixSelectorEventLoop.add_signal_handler = register
+"""
+
+
+def test_a_signal_in_the_moment_in_which_the_loop_takes_over_reloads_the_settings_once(
+    tmp_path: Path,
+) -> None:
+    """Failure: it is recorded as an early one and read from the loop's wakeup descriptor too."""
+
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            settings = told(p.agent.address, known=known(p))
+            process = await spawn_node(
+                tmp_path / "config.json", settings, asyncio.subprocess.PIPE, SIGHUP_AS_THE_LOOP_TAKES_OVER
+            )
+            assert process.stderr
+            try:
+                while "settings reloaded" not in (line := (await process.stderr.readline()).decode()):
+                    assert line, "the node has ended"
+                process.send_signal(signal.SIGTERM)
+                lines = (await process.stderr.read()).decode().splitlines()
+                assert await process.wait() == 0
+                assert not [line for line in lines if "settings reloaded" in line], "once"
+            finally:
+                await killed(process)
+
+    run(go)
+
+
+STOPS = """
+import os, signal
+def stop():
+    os.kill(os.getpid(), signal.SIGTERM)
+"""
+STOP_WHILE_SETTINGS_FAIL = (
+    STOPS
+    + """
+import io
+_open = io.open
+def failing(file, *args, **kwargs):
+    if str(file) == os.environ["RELAY_CONFIG"]:
+        stop()
+        raise OSError(5, "fails")
+    return _open(file, *args, **kwargs)
+io.open = failing
+"""
+)
+STOP_AS_THE_LOOP_IS_MADE = (
+    STOPS
+    + """
+import asyncio
+_make = asyncio.new_event_loop
+def make():
+    stop()
+    return _make()
+asyncio.new_event_loop = make
+"""
+)
+
+
+@pytest.mark.parametrize("shim", [STOP_WHILE_SETTINGS_FAIL, STOP_AS_THE_LOOP_IS_MADE])
+def test_a_node_that_is_stopped_before_it_serves_ends_as_one_that_is_stopped(
+    shim: str, tmp_path: Path
+) -> None:
+    """Failure: SIGTERM during the start ends the process by the signal, or is heeded only after a retry."""
+
+    async def go() -> None:
+        async with (
+            platform(r0=reads, w0=writes) as p,
+            starting(tmp_path / "config.json", told(p.agent.address), shim) as process,
+        ):
+            assert await asyncio.wait_for(process.wait(), READY_WITHIN_S) == 0
+
+    run(go)
+
+
+def test_signals_in_series_up_to_the_end_do_not_replace_the_exit_code(tmp_path: Path) -> None:
+    """SIGHUP and SIGTERM in both orders, and both again until the process has ended."""
+
+    async def go() -> None:
+        async with platform(r0=reads, w0=writes) as p:
+            port = free_port()
+            text = told(p.agent.address, listen=f"127.0.0.1:{port}", known=known(p))
+            async with starting(tmp_path / "config.json", text) as process:
+                await serves(process, port)
+                handle = os.pidfd_open(process.pid)
+                try:
+                    async with asyncio.timeout(15):
+                        while process.returncode is None:
+                            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                                with contextlib.suppress(ProcessLookupError):
+                                    signal.pidfd_send_signal(handle, number)
+                            await asyncio.sleep(0.005)
+                finally:
+                    os.close(handle)
+                assert process.returncode == 0
+
+    run(go)
+
+
 def write_whole(path: Path, text: str) -> None:
     beside = path.with_suffix(".new")
     beside.write_text(text)
--- /dev/null
+++ b/tests/rpc/test_process_signals.py
@@ -0,0 +1,92 @@
+"""Signals of a process that starts, runs and ends: each is handled once, and none ends the process.
+
+Failure: SIGHUP between two steps of a start is handled twice, or not at all; a signal as the process ends
+replaces its exit code.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+PROGRAM = """
+import asyncio, os, signal
+from tuliptrack.rpc.process_signals import ProcessSignals
+
+def send(number=signal.SIGHUP):
+    os.kill(os.getpid(), number)
+
+handled = []
+signals = ProcessSignals(signal.SIGHUP, signal.SIGTERM)
+{before_loop}
+
+async def main():
+    loop = asyncio.get_running_loop()
+    {in_loop}
+    signals.attach(loop)
+    {attached}
+    signals.handle(signal.SIGHUP, lambda: handled.append("reload"))
+    {serving}
+    await asyncio.sleep(0.05)
+    {ending}
+    signals.block()
+
+asyncio.run(main())
+{ended}
+print(*handled)
+"""
+SENT_AS_THE_LOOP_TAKES_OVER = """
+    register, wake = loop.add_signal_handler, signal.set_wakeup_fd
+    def {name}(*args, **options):
+        send()
+        result = {original}(*args, **options)
+        send()
+        return result
+    {place} = {name}
+"""
+
+
+def play(**steps: str) -> str:
+    """What was handled; the steps are lines of the program, by the place where they stand."""
+    places = ("before_loop", "in_loop", "attached", "serving", "ending", "ended")
+    program = PROGRAM.format(**{place: steps.get(place, "") for place in places})
+    done = subprocess.run([sys.executable, "-c", program], capture_output=True, text=True, timeout=30)
+    assert done.returncode == 0, (done.returncode, done.stderr)
+    return done.stdout.strip()
+
+
+@pytest.mark.parametrize("place", ["before_loop", "in_loop", "attached", "serving"])
+def test_a_signal_is_handled_once_wherever_it_comes(place: str) -> None:
+    assert play(**{place: "send()"}) == "reload"
+
+
+@pytest.mark.parametrize(
+    ("place", "original"),
+    [("loop.add_signal_handler", "register"), ("signal.set_wakeup_fd", "wake")],
+    ids=["handlers", "wakeup descriptor"],
+)
+def test_signals_around_each_step_of_the_take_over_are_handled_once(place: str, original: str) -> None:
+    """A signal before and after each call by which the loop takes over: handled once, after the last."""
+    lines = SENT_AS_THE_LOOP_TAKES_OVER.format(name="around", original=original, place=place)
+    assert play(in_loop=lines.strip()) == "reload"
+
+
+def test_a_series_in_one_turn_of_the_loop_is_handled_once_and_a_later_signal_again() -> None:
+    series = "send(); send(); send()"
+    for place in ("before_loop", "in_loop", "attached", "serving"):
+        assert play(**{place: series}) == "reload"
+    assert play(serving="send(); await asyncio.sleep(0.02); send()") == "reload reload"
+
+
+def test_signals_at_the_end_do_not_replace_the_exit_code() -> None:
+    everything = "send(); send(signal.SIGTERM)"
+    assert play(ended=everything) == ""
+
+
+def test_a_signal_that_nobody_handles_yet_is_pending() -> None:
+    lines = (
+        "send(signal.SIGTERM); await asyncio.sleep(0.02); handled.append(signals.has_pending(signal.SIGTERM))"
+    )
+    assert play(attached=lines) == "True"
--- a/tuliptrack/cli/agent.py
+++ b/tuliptrack/cli/agent.py
@@ -11,6 +11,7 @@
 from tuliptrack.decisions.rollout_plan import Release
 from tuliptrack.fleet.agent import Agent
 from tuliptrack.node.logs import set_up
+from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 from tuliptrack.store.sealed import SealedError
 
 __all__ = ["agent"]
@@ -30,9 +31,10 @@
     """Run the node of HOST from FOLDER until SIGTERM, which leaves the node running. Prints one JSON line
     with the address.
     """
+    signals = ProcessSignals(*STOP_SIGNALS)
     set_up(json_lines=True)
     try:
         one = Agent(host, folder, Release(program, settings))
-        asyncio.run(run_until_told(one, listen, life=one.incarnation))
+        asyncio.run(run_until_told(one, listen, signals, life=one.incarnation))
     except (SealedError, OSError) as error:
         raise click.ClickException(str(error)) from None
--- a/tuliptrack/cli/fleet.py
+++ b/tuliptrack/cli/fleet.py
@@ -18,6 +18,7 @@
 from tuliptrack.node.logs import set_up
 from tuliptrack.proto import rollout_pb2 as pb
 from tuliptrack.rpc.channel import Channel, Options
+from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 from tuliptrack.rpc.status import Code
 
 __all__ = ["fleet"]
@@ -59,9 +60,10 @@
     """Run controller NUMBER (each another one, from 0) for the fleet in HOSTS until SIGTERM. HOSTS is a JSON
     list of objects with `name`, `zone` and `agent` (host:port). Prints one JSON line with the address.
     """
+    signals = ProcessSignals(*STOP_SIGNALS)
     set_up(json_lines=True)
     one = Controller(number, read_hosts(hosts), int(window * 1e6), int(takeover * 1e6))
-    asyncio.run(run_until_told(one, listen))
+    asyncio.run(run_until_told(one, listen, signals))
 
 
 async def _first(controllers: tuple[str, ...], method: str, question: Any) -> pb.FleetState:
--- a/tuliptrack/cli/lab.py
+++ b/tuliptrack/cli/lab.py
@@ -18,6 +18,7 @@
 from tuliptrack.lab.engine import Engine
 from tuliptrack.node.logs import set_up
 from tuliptrack.proto import config_pb2, lab_pb2
+from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 
 __all__ = ["lab"]
 
@@ -43,6 +44,7 @@
     role: str | None, model: str | None, listen: str, name: str, log_path: str | None, cold: bool
 ) -> None:
     """Run a stand-in engine until SIGTERM; prints one JSON line with its address."""
+    signals = ProcessSignals(*STOP_SIGNALS)
     made = lab_pb2.EngineModel()
     if model:
         try:
@@ -56,7 +58,7 @@
         raise click.UsageError("--role or a model with a role is needed")
     set_up(json_lines=False, quiet=True)
     with open(log_path, "a") if log_path else contextlib.nullcontext() as seen:
-        asyncio.run(run_until_told(Engine(name, made, seen, cold), listen))
+        asyncio.run(run_until_told(Engine(name, made, seen, cold), listen, signals))
 
 
 @lab.command()
--- a/tuliptrack/cli/serve.py
+++ b/tuliptrack/cli/serve.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import signal
 
 import click
 
@@ -13,6 +12,7 @@
 from tuliptrack.node.logs import set_up
 from tuliptrack.node.node import Node
 from tuliptrack.rpc.loop_errors import log_loop_errors
+from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 
 __all__ = ["serve"]
 
@@ -24,21 +24,25 @@
 )
 def serve(file: str, ready: bool) -> None:
     """Serve with the settings in FILE. SIGTERM or SIGINT: drain, refuse, end; a second one: end now."""
+    signals = ProcessSignals(*STOP_SIGNALS)
     found = load_config(file)
     set_up(found.json_log)
     try:
-        asyncio.run(_run(found, ready))
+        asyncio.run(_run(found, ready, signals))
     except OSError as error:
         raise click.ClickException(f"{found.listen}: {error.strerror or error}") from None
 
 
-async def _run(found: NodeConfig, ready: bool) -> None:
-    node = Node(found)
+async def _run(found: NodeConfig, ready: bool, signals: ProcessSignals) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     log_loop_errors(loop)
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
+    signals.attach(loop)
+    for name in STOP_SIGNALS:
+        signals.handle(name, stop.set)
+    if stop.is_set():
+        return
+    node = Node(found)
     address = await node.start()
     if ready:
         click.echo(json.dumps({"address": address, "instance": node.instance}))
@@ -51,3 +55,4 @@
         node.server.cut_short()
     again.cancel()
     await ending
+    signals.block()
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -19,6 +19,7 @@
 from tuliptrack.relay.config import RelayConfig, RelayConfigError, RelayConfigUnreadableError, load
 from tuliptrack.relay.node import RelayNode
 from tuliptrack.rpc.loop_errors import log_loop_errors
+from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 from tuliptrack.rpc.retry import retry
 
 __all__ = ["main"]
@@ -33,56 +34,52 @@
 """What is open at the end may take so many of the longest deadline."""
 
 
-class _EarlySignals:
-    """Records a SIGHUP that arrives before the node can handle it."""
-
-    # Failure: SIGHUP during the start ends the process, or is lost. It would show as a node that is gone, or
-    # polls the former discovery agent. The handler is set first of all, and the node reloads once it serves.
-
-    def __init__(self) -> None:
-        self.is_recorded = False
-        signal.signal(signal.SIGHUP, self._record)
-
-    def _record(self, *_: object) -> None:
-        self.is_recorded = True
-
-
-async def _run(config: RelayConfig, early: _EarlySignals) -> None:
+async def _run(config: RelayConfig, signals: ProcessSignals) -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     log_loop_errors(loop)
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, stop.set)
+    signals.attach(loop)
+    for name in STOP_SIGNALS:
+        signals.handle(name, stop.set)
+    if stop.is_set():
+        log.info("stopped before serving")
+        return
     node = RelayNode(config)
     await node.start()
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
-    if early.is_recorded:
-        node.reload()
+    signals.handle(signal.SIGHUP, node.reload)
     gc.freeze()
     await stop.wait()
     longest_s = max(one.deadline_us for one in config.settings.classes) / 1e6
     kill_after_s = min(longest_s, MAX_DEADLINE_BEFORE_KILL_S) + KILL_MARGIN_S
     await node.stop(longest_s * STOP_GRACE_DEADLINES, kill_after_s)
+    signals.block()
 
 
-def _load_at_start() -> RelayConfig:
+def _load_at_start(signals: ProcessSignals) -> RelayConfig:
     return retry(
         "reading the settings",
         lambda: load(os.environ),
         CONFIG_RETRY_S,
-        lambda error: isinstance(error, RelayConfigUnreadableError),
+        lambda error: (
+            isinstance(error, RelayConfigUnreadableError) and not signals.has_pending(*STOP_SIGNALS)
+        ),
     )
 
 
 def main() -> int:
     """Run a node until SIGTERM; return 2 where its settings cannot be used or it cannot listen."""
-    early = _EarlySignals()
+    # Failure: SIGHUP during the start ends the process, or is lost. It would show as a node that is gone, or
+    # polls the former discovery agent. Signals are recorded first of all, and handled once the node serves.
+    signals = ProcessSignals(*STOP_SIGNALS, signal.SIGHUP)
     set_up(json_lines=False, colours=False)
     try:
-        config = _load_at_start()
+        config = _load_at_start(signals)
         loop = retry("opening an event loop", asyncio.new_event_loop, CONFIG_RETRY_S)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
-            runner.run(_run(config, early))
+            runner.run(_run(config, signals))
     except RelayConfigError as error:
+        if signals.has_pending(*STOP_SIGNALS):
+            log.info("stopped before serving")
+            return 0
         log.error("settings not usable", reason=str(error))
         return 2
     except OSError as error:
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -218,7 +218,7 @@
         self.conclude_open_requests(started_at_us + int(GRACE_AFTER_SIGTERM_S * 1e6))
         await asyncio.sleep(min(kill_after_s, CONCLUDE_BEFORE_KILL_S))
         await server.stop(grace_s)
-        self._settings_reload.cancel()
+        self._settings_reload.close()
         await self.source.close()
         self.close()
         if self._sweeper:
--- a/tuliptrack/relay/settings_reload.py
+++ b/tuliptrack/relay/settings_reload.py
@@ -18,19 +18,26 @@
 
 
 class SettingsReload:
-    """Reads the file at `start`; `cancel` ends the retries."""
+    """Reads the file at `start`; after `close` it does nothing."""
 
     def __init__(self, apply: Callable[[RelayConfig], None]) -> None:
         self._apply = apply
         self._retry: asyncio.TimerHandle | None = None
+        self._is_closed = False
 
     def start(self) -> None:
         """Read the file, and retry for `RETRY_FOR_S` where it cannot be read."""
-        self.cancel()
+        if self._is_closed:
+            return
+        self._cancel_retry()
         self._read(asyncio.get_running_loop().time() + RETRY_FOR_S, is_retry=False)
 
-    def cancel(self) -> None:
+    def close(self) -> None:
         """Read the file no more."""
+        self._is_closed = True
+        self._cancel_retry()
+
+    def _cancel_retry(self) -> None:
         if self._retry:
             self._retry.cancel()
             self._retry = None
--- /dev/null
+++ b/tuliptrack/rpc/process_signals.py
@@ -0,0 +1,74 @@
+"""The signals of a process, from its first lines on, each handled once.
+
+Before a loop runs, signals are recorded; once it runs, they reach the handlers through it. One that comes
+before its handler is set is handed over when it is set. Signals of one kind that come in one turn of the loop
+are handled together: what they ask for is done once, after the last of them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Callable
+
+__all__ = ["STOP_SIGNALS", "ProcessSignals"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class ProcessSignals:
+    """Takes over some signals of this process; made in its main thread. `attach`, then `handle`, then `block`."""
+
+    def __init__(self, *numbers: signal.Signals) -> None:
+        """Record these signals from now on, in place of what they do by default."""
+        self._numbers = numbers
+        self._pending: set[signal.Signals] = set()
+        """Signals that came and were not handled yet."""
+        self._handlers: dict[signal.Signals, Callable[[], None]] = {}
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._is_delivery_due = False
+        for number in numbers:
+            signal.signal(number, self._record)
+
+    def attach(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Receive signals through a loop from now on; no other thread may run yet."""
+        # Failure: a signal that comes while the loop takes over is recorded here and also read from the loop's
+        # wakeup descriptor. It would show as settings that are reloaded twice. While it is blocked it is
+        # delivered to neither, and once it is unblocked, to the loop alone.
+        self._loop = loop
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, self._numbers)
+        try:
+            for number in self._numbers:
+                loop.add_signal_handler(number, self._receive, number)
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+    def handle(self, number: signal.Signals, handler: Callable[[], None]) -> None:
+        """Call `handler` for each signal from now on, and now if one has come before."""
+        self._handlers[number] = handler
+        self._deliver()
+
+    def has_pending(self, *numbers: signal.Signals) -> bool:
+        """Return whether one of these signals has come that was not handled."""
+        return not self._pending.isdisjoint(numbers)
+
+    def block(self) -> None:
+        """Let no signal end the process from now on, as nothing is left that could handle it."""
+        # Failure: the loop restores what signals do by default as it closes. It would show as a process that
+        # has done its work and ends by a signal, in place of its exit code.
+        signal.pthread_sigmask(signal.SIG_BLOCK, self._numbers)
+
+    def _record(self, number: int, _frame: object) -> None:
+        self._pending.add(signal.Signals(number))
+
+    def _receive(self, number: signal.Signals) -> None:
+        self._pending.add(number)
+        if self._loop and not self._is_delivery_due:
+            self._is_delivery_due = True
+            self._loop.call_soon(self._deliver)
+
+    def _deliver(self) -> None:
+        self._is_delivery_due = False
+        for number in sorted(self._pending & self._handlers.keys()):
+            self._pending.discard(number)
+            self._handlers[number]()
