A node is started after any number of failures, and long tasks outlive a fault

What is lost: a host whose release cannot be started for an hour and a half has no node ever after. Cause: the supervisor's backoff was 0.2 * 2**n, bounded afterwards; at the 1,025th failure OverflowError ended the agent's watch, which nobody waits for. Fix: the delay doubles from the one before up to its maximum. Tasks that repeat a step run by rpc/periodic.py, which records what a step raises and goes on. Trouble of a start is cleared by a later one; that of an order is kept apart.

--- a/tests/relay/test_discovery.py
+++ b/tests/relay/test_discovery.py
@@ -251,7 +251,7 @@
 
             monkeypatch.setattr(p.relay.directory, "apply", fail_once)
             await assert_drain_is_followed(p)
-            assert p.relay.counters.as_dict()["violations_lists_raise_typed_errors"] == 1
+            assert p.relay.counters.as_dict()["violations_no_unexpected_error"] == 1
 
     run(go, virtual=True)
     assert "ZeroDivisionError" in no_invariant_is_violated.pop()
--- a/tuliptrack/fleet/agent.py
+++ b/tuliptrack/fleet/agent.py
@@ -55,6 +55,8 @@
         initial_state = AgentState(Acceptor(), order=FIRST_BALLOT, release=initial_release)
         self.state = load_state(self._folder.state) or initial_state
         self.node = NodeSupervisor(self._folder, self.state.release)
+        self.order_fault = ""
+        """Why the last order could not be obeyed, for operators; empty where it was."""
         self._server = Server()
         self._server.add(SERVICE, "Promise", unary_request(pb.PromiseRequest, self._handle_promise))
         self._server.add(SERVICE, "Accept", unary_request(pb.AcceptRequest, self._handle_accept))
@@ -134,7 +136,7 @@
         self._last_led_at_us = now_us()
         is_known = release == self.state.release and order == self.state.order
         if release.program and not is_known:
-            self.node.fault = self._folder.missing(release) or self._change_release(order, release)
+            self.order_fault = self._folder.missing(release) or self._change_release(order, release)
         return True
 
     def _change_release(self, order: Ballot, release: Release) -> str:
@@ -158,7 +160,7 @@
             died=self.node.unexpected_exits,
             ready_for=max(now - ready_at_us, 0) if ready_at_us else 0,
             life=self.incarnation,
-            trouble=self.node.fault,
+            trouble=self.order_fault or self.node.fault,
             unled_for=now - self._last_led_at_us,
             address=self.node.address,
             changes=self.state.change_count,
--- a/tuliptrack/fleet/controller.py
+++ b/tuliptrack/fleet/controller.py
@@ -9,6 +9,8 @@
 
 import asyncio
 import json
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import structlog
@@ -24,6 +26,7 @@
 from tuliptrack.fleet.unary_call import CallError
 from tuliptrack.proto import rollout_pb2 as pb
 from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.periodic import run_periodically
 from tuliptrack.rpc.server import Server
 
 __all__ = ["Controller"]
@@ -73,8 +76,10 @@
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Begin to work and serve operators; return host:port."""
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._run())]
-        self._tasks += [loop.create_task(self._poll_agent(name)) for name in self._hosts]
+        self._tasks = [self._repeat(loop, "decisions", self._decide)]
+        self._tasks += [
+            self._repeat(loop, f"reports of {name}", partial(self._poll_agent, name)) for name in self._hosts
+        ]
         return await self._server.listen(host, port)
 
     async def stop(self) -> None:
@@ -86,20 +91,21 @@
         await self._server.stop(0)
         await self._calls.close()
 
+    def _repeat(
+        self, loop: asyncio.AbstractEventLoop, name: str, step: Callable[[], Awaitable[None]]
+    ) -> asyncio.Task[None]:
+        return loop.create_task(run_periodically(name, self._poll_interval_s, step))
+
     async def _poll_agent(self, name: str) -> None:
-        """Fetch one agent's report, again and again, with an order if this controller leads.
+        """Fetch one agent's report, with an order if this controller leads.
 
         Each agent has a task of its own, so one that can't be reached delays no other.
         """
-        while True:
-            try:
-                self._collector.latest[name] = await self._calls.request_report(
-                    name, self._report_request(name)
-                )
-            except CallError as error:
-                log.debug("no report", host=name, reason=str(error))
-                self._collector.latest.pop(name, None)
-            await asyncio.sleep(self._poll_interval_s)
+        try:
+            self._collector.latest[name] = await self._calls.request_report(name, self._report_request(name))
+        except CallError as error:
+            log.debug("no report", host=name, reason=str(error))
+            self._collector.latest.pop(name, None)
 
     def _report_request(self, name: str) -> pb.LookRequest:
         request = pb.LookRequest()
@@ -110,20 +116,18 @@
                 request.release.program, request.release.settings = wanted.program, wanted.settings
         return request
 
-    async def _run(self) -> None:
+    async def _decide(self) -> None:
         """Decide once a window while leading; claim to lead while nobody does."""
-        while True:
-            await asyncio.sleep(self._poll_interval_s)
-            for report in self._collector.latest.values():
-                self._consensus.record_promised(report.promised)
-            if not self._consensus.has_promises:
-                self._learn()
-                await self._claim_if_unled()
-            elif self._consensus.is_leader:
-                await self._lead()
-            else:
-                await self._settle()
-            self._operators.answer_decision()
+        for report in self._collector.latest.values():
+            self._consensus.record_promised(report.promised)
+        if not self._consensus.has_promises:
+            self._learn()
+            await self._claim_if_unled()
+        elif self._consensus.is_leader:
+            await self._lead()
+        else:
+            await self._settle()
+        self._operators.answer_decision()
 
     def _learn(self) -> None:
         """Learn the baseline while another controller leads, as this one may have to take over.
--- a/tuliptrack/fleet/node_supervisor.py
+++ b/tuliptrack/fleet/node_supervisor.py
@@ -19,6 +19,8 @@
 from tuliptrack.fleet.host_folder import HostFolder
 from tuliptrack.fleet.node_process import NodeProcess, find_node, start_node
 from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.loop_errors import log_fault
+from tuliptrack.rpc.periodic import run_periodically
 
 __all__ = ["NodeSupervisor"]
 
@@ -34,15 +36,16 @@
 class _RestartBackoff:
     """When a node may be started: after each failure in a row the delay doubles, up to a maximum."""
 
-    failures_in_row: int = 0
+    delay_s: float = 0.0
+    """After the last failure; 0 if the last start was none."""
     not_before_s: float = 0.0
 
     def record_failure(self, now_s: float) -> None:
-        self.not_before_s = now_s + min(MIN_BACKOFF_S * 2**self.failures_in_row, MAX_BACKOFF_S)
-        self.failures_in_row += 1
+        self.delay_s = min(max(2 * self.delay_s, MIN_BACKOFF_S), MAX_BACKOFF_S)
+        self.not_before_s = now_s + self.delay_s
 
     def reset(self) -> None:
-        self.failures_in_row, self.not_before_s = 0, 0.0
+        self.delay_s, self.not_before_s = 0.0, 0.0
 
 
 class NodeSupervisor:
@@ -51,7 +54,9 @@
     def __init__(self, folder: HostFolder, release: Release) -> None:
         """Prepare to run `release`; nothing is started yet."""
         self.fault = ""
-        """Why the release does not run, for operators; empty where it does."""
+        """Why the node could not be started last, for operators; empty once it could."""
+        self.step_errors = 0
+        """Steps of the watch that failed by a fault of this program."""
         self.address = ""
         """host:port of the node, once it is ready."""
         self.ready_at_us = 0
@@ -86,9 +91,16 @@
 
     async def watch(self) -> None:
         """Keep the node running until cancelled, which leaves it as it is."""
-        while True:
-            self._step(asyncio.get_running_loop().time())
-            await asyncio.sleep(POLL_INTERVAL_S)
+        loop = asyncio.get_running_loop()
+        await run_periodically(
+            "watch of the node", POLL_INTERVAL_S, lambda: self._step(loop.time()), self._record_step_error
+        )
+
+    def _record_step_error(self, _name: str, error: Exception) -> None:
+        if not self.step_errors:  # Each step may raise it, twenty times a second.
+            log_fault(error)
+        self.step_errors += 1
+        self.fault = f"agent: {type(error).__name__}: {error}"
 
     def _step(self, now_s: float) -> None:
         if self._node and not self._node.is_running():
@@ -135,6 +147,7 @@
             return
         try:
             self._node = start_node(self._folder, self._release)
+            self.fault = ""
             log.info("node started", pid=self._node.pid, release=self._release.name)
         except OSError as error:
             self.fault = f"{self._folder.program(self._release)}: {error.strerror or error}"
--- a/tuliptrack/node/billing.py
+++ b/tuliptrack/node/billing.py
@@ -29,6 +29,7 @@
 from tuliptrack.node.request_state import RequestState
 from tuliptrack.node.requests import RequestRecord
 from tuliptrack.node.usage_recorder import UsageRecorder
+from tuliptrack.rpc.periodic import run_periodically
 
 __all__ = ["Billing"]
 
@@ -134,12 +135,13 @@
 
     async def _run(self) -> None:
         """Commit and log, until cancelled."""
-        while True:
-            await asyncio.sleep(self.options.commit / 1e6)
-            if time.monotonic() - self._logged_at_s > BUDGET_LOG_INTERVAL_S:
-                self._logged_at_s = time.monotonic()
-                self.log_budgets()
-            await self.recorder.commit_interval()
+        await run_periodically("bills", self.options.commit / 1e6, self._commit_and_log)
+
+    async def _commit_and_log(self) -> None:
+        if time.monotonic() - self._logged_at_s > BUDGET_LOG_INTERVAL_S:
+            self._logged_at_s = time.monotonic()
+            self.log_budgets()
+        await self.recorder.commit_interval()
 
     def log_budgets(self) -> None:
         """Log who uses most, and by what share the reservations differ from what was used.
--- a/tuliptrack/node/core_state.py
+++ b/tuliptrack/node/core_state.py
@@ -21,6 +21,7 @@
 from tuliptrack.node.requests import Attempt, RequestRecord, RequestTable
 from tuliptrack.node.timers import NodeClock, TimerSet
 from tuliptrack.routing.router import Router
+from tuliptrack.rpc.loop_errors import log_fault
 
 __all__ = ["CoreState"]
 
@@ -76,6 +77,13 @@
         """Return the class of a request."""
         return self.requests.class_of(record.client_request)
 
+    def record_fault(self, where: str, error: Exception) -> None:
+        """Count and log an error that only a fault of this program can raise."""
+        log_fault(error)
+        self.counters.violated(
+            "no_unexpected_error", where=where, type=type(error).__name__, reason=str(error)
+        )
+
     def advised_retry_after(self, retry_after_us: int) -> int:
         """Cut advice that is an estimate to what the settings allow."""
         return min(retry_after_us, self.settings.max_retry_after_us)
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -39,6 +39,7 @@
 from tuliptrack.proto import fleet_pb2
 from tuliptrack.rpc.clock import now_us, wall_us
 from tuliptrack.rpc.core import Limits
+from tuliptrack.rpc.periodic import run_periodically
 from tuliptrack.rpc.server import Server
 from tuliptrack.sources.endpoint_list import (
     EndpointList,
@@ -184,15 +185,16 @@
 
     async def _sweep(self) -> None:
         """Look at times that need no timer of their own, until cancelled."""
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
-            now = now_us()
-            if now - self._interval_closed_at_us > self.config.zones.report_every:
-                self._interval_closed_at_us = now
-                if interval := self.cross_zone_account.close_interval():
-                    await asyncio.to_thread(self.cross_zone_account.write, interval)
-            self.sweep()
-            self.channels.close_idle()
+        await run_periodically("sweep", SWEEP_INTERVAL_S, self._sweep_once, self.record_fault)
+
+    async def _sweep_once(self) -> None:
+        self.sweep()
+        self.channels.close_idle()
+        now = now_us()
+        if now - self._interval_closed_at_us > self.config.zones.report_every:
+            self._interval_closed_at_us = now
+            if interval := self.cross_zone_account.close_interval():
+                await asyncio.to_thread(self.cross_zone_account.write, interval)
 
     def serving(self) -> bool:
         """Return whether requests are accepted: the node has started and is not draining."""
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -30,6 +30,7 @@
 from tuliptrack.rpc.http1_client import ClientOptions
 from tuliptrack.rpc.http1_pool import Connections
 from tuliptrack.rpc.listener import ACCEPTED_AT_ONCE
+from tuliptrack.rpc.periodic import run_periodically
 from tuliptrack.rpc.retry import retry_async
 
 __all__ = ["RelayNode"]
@@ -101,7 +102,7 @@
             lambda: max(self.directory.revision, 0),
             lambda message, is_first: self.apply_list(message, is_new_agent=is_first),
             config.settings.drain_grace_us,
-            self._record_list_fault,
+            lambda error: self.record_fault("endpoint list", error),
         )
         self._last_rejection = ""
         """Why the last list was rejected, so that it is logged once."""
@@ -253,21 +254,18 @@
             self._readiness_timer.cancel()
             self._readiness_timer, self.front.is_ready = None, True
 
-    def _record_list_fault(self, error: Exception) -> None:
-        """Count and log an error that no endpoint list should be able to raise."""
-        self.counters.violated("lists_raise_typed_errors", type=type(error).__name__, reason=str(error))
-
     def _log_rejection(self, reason: str) -> None:
         if reason != self._last_rejection:
             self._last_rejection = reason
             log.warning("endpoint list rejected", reason=reason)
 
     async def _sweep_regularly(self) -> None:
-        while True:
-            await asyncio.sleep(SWEEP_INTERVAL_S)
+        def sweep() -> None:
             self.sweep()
             self.pools.sweep()
 
+        await run_periodically("sweep", SWEEP_INTERVAL_S, sweep, self.record_fault)
+
 
 def _engine_pools(config: RelayConfig, max_connections: int) -> EnginePools:
     idle_timeout_us = config.engine_idle_timeout_us or DEFAULT_ENGINE_IDLE_TIMEOUT_US
--- a/tuliptrack/sources/file.py
+++ b/tuliptrack/sources/file.py
@@ -12,6 +12,7 @@
 
 from tuliptrack.config.textformat import ConfigError, read_file
 from tuliptrack.proto import fleet_pb2 as pb
+from tuliptrack.rpc.periodic import run_periodically
 
 __all__ = ["FileSource"]
 
@@ -43,9 +44,7 @@
         self._task = asyncio.get_running_loop().create_task(self._poll())
 
     async def _poll(self) -> None:
-        while True:
-            self._read_if_changed()
-            await asyncio.sleep(self._poll_interval_us / 1e6)
+        await run_periodically("endpoint list file", self._poll_interval_us / 1e6, self._read_if_changed)
 
     def _read_if_changed(self) -> None:
         version = self._file_version()
