gRPC node: an invalid entry of a list costs none of the others

What callers saw: as on the HTTP node, requests at an engine that drains, where another entry of the same list cannot be used (unknown kind, address, number). Cause: EndpointList rejected a message whole at its first invalid entry, and a port of non-ASCII digits raised a ValueError that nobody expects. Fix: an invalid entry is left out and named in the log; one that says that its engine is leaving still counts. Unknown kinds of message and lists beyond the bound are rejected as before.

--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -55,6 +55,8 @@
 
 log = structlog.get_logger("node")
 
+MAX_LOGGED_ENTRIES = 5
+"""Of the entries of one list that are left out."""
 SWEEP_INTERVAL_S = 0.25
 """Between looks at silent streams, stalled clients and idle connections."""
 
@@ -215,8 +217,11 @@
         except InvalidListError as error:
             log.warning("endpoint list rejected", reason=str(error))
             return
+        if listing.left_out:
+            reasons = listing.left_out[:MAX_LOGGED_ENTRIES]
+            log.warning("endpoint list entries left out", count=len(listing.left_out), reasons=reasons)
         # First the routers stop sending to an endpoint, then its channel may be retired.
-        labels = {entry.id: Model(entry.model, entry.model_version) for entry in message.servers}
+        labels = {entry.id: Model(entry.model, entry.model_version) for entry in listing.entries}
         self.model_routers.update(listing.update, labels)
         self.channels.update(listing.addresses, before - set(self.endpoint_list.entries))
         if listing.update.kind in (io.UpdateKind.FULL, io.UpdateKind.DELTA):
--- a/tuliptrack/sources/endpoint_list.py
+++ b/tuliptrack/sources/endpoint_list.py
@@ -1,15 +1,16 @@
 """The endpoint list of a gRPC node: received messages are checked, applied and converted for the router.
 
 `EndpointList` is the sum of all updates so far. It converts the start times of engines from wall time to the
-node's monotonic time. A message with any invalid entry is rejected as a whole, and the list before it stays
-in force. `save_cache` and `load_cache` store the list on disk for the node's next start.
+node's monotonic time. An invalid entry is left out, and costs none of the others; a message of unknown kind
+is rejected, and the list before it stays in force. `save_cache` and `load_cache` store the list on disk for
+the node's next start.
 """
 
 from __future__ import annotations
 
-import math
 import os
-from collections.abc import Callable, Sequence
+import re
+from collections.abc import Callable, Container, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Protocol
@@ -34,6 +35,8 @@
 MAX_ENDPOINTS = 100_000
 """Entries of one list: a bound, far above any fleet."""
 MAX_PORT = 65_535
+MAX_WEIGHT = 1e9
+MAX_STARTED_UNIX_US = 2**62
 VERSION_MASK = 0xFFFF_FFFF
 """Versions are passed to the router as 32 bits."""
 DEFAULT_WEIGHT = 1.0
@@ -41,6 +44,8 @@
 """Characters of an invalid kind that an error quotes."""
 MAX_QUOTED_ADDRESS = 80
 """Characters of an invalid address that an error quotes."""
+_ADDRESS = re.compile(r"[\x21-\x7e]+:[0-9]{1,5}")
+"""Printable ASCII, as the address goes into requests."""
 CACHE_HEADER = "# The last server list of a tuliptrack node.\n"
 
 _STATES = {
@@ -56,16 +61,22 @@
 
 
 class InvalidListError(Exception):
-    """A list that is rejected; the text names the entry, the field and the reason."""
+    """A list that is rejected, or an entry that is left out; the text names the field and the reason."""
 
 
 @dataclass(frozen=True, slots=True)
 class ListedUpdate:
-    """One update for the router, with the addresses of the endpoints that it names."""
+    """One update for the router, with the entries that it was made of."""
 
     update: EndpointListUpdate
-    addresses: dict[int, str]
-    """`host:port` by endpoint id."""
+    entries: tuple[pb.ServerEntry, ...] = ()
+    left_out: tuple[str, ...] = ()
+    """Why entries were left out: place, field and reason of each."""
+
+    @property
+    def addresses(self) -> dict[int, str]:
+        """`host:port` by endpoint id."""
+        return {entry.id: entry.address for entry in self.entries}
 
 
 class EndpointListSource(Protocol):
@@ -113,22 +124,24 @@
         Raises:
             InvalidListError: The message is rejected, and nothing has changed.
         """
+        # Failure: one entry that cannot be used takes the whole list with it. It would show as requests sent
+        # to an engine that drains, as another entry of the same list says.
         update_kind = kind or _UPDATE_KINDS.get(message.kind)
         if update_kind is None:
             raise InvalidListError(f"kind: unknown value {message.kind}")
         if update_kind is UpdateKind.FAILED:
-            return ListedUpdate(EndpointListUpdate(UpdateKind.FAILED), {})
-        named_ids = self._check(message)
+            return ListedUpdate(EndpointListUpdate(UpdateKind.FAILED))
+        entries, left_out = self._usable_entries(message)
         wall_us = read_wall_us() if wall_us is None else wall_us
-        endpoints = tuple(self._endpoint_info(entry, now_us, wall_us) for entry in message.servers)
+        endpoints = tuple(self._endpoint_info(entry, now_us, wall_us) for entry in entries.values())
         if update_kind is not UpdateKind.DELTA:
             self.entries.clear()
-        self._merge(message)
+        self._merge(entries)
         self._start_times.record_list(now_us)
-        self._start_times.retain(self.entries.keys() | named_ids)
+        self._start_times.retain(self.entries.keys() | entries.keys())
         self.version = message.version
         update = EndpointListUpdate(update_kind, message.version & VERSION_MASK, endpoints)
-        return ListedUpdate(update, {entry.id: entry.address for entry in message.servers})
+        return ListedUpdate(update, tuple(entries.values()), tuple(left_out))
 
     def _endpoint_info(self, entry: pb.ServerEntry, now_us: int, wall_us: int) -> EndpointInfo:
         return EndpointInfo(
@@ -141,26 +154,46 @@
             started_at_us=self._start_times.to_monotonic_us(entry.id, entry.started_unix_us, now_us, wall_us),
         )
 
-    def _merge(self, message: pb.ServerList) -> None:
-        for entry in message.servers:
+    def _merge(self, entries: Mapping[int, pb.ServerEntry]) -> None:
+        for endpoint_id, entry in entries.items():
             if entry.state == pb.ServerEntry.GONE:
-                self.entries.pop(entry.id, None)
+                self.entries.pop(endpoint_id, None)
             else:
-                self.entries[entry.id] = entry
+                self.entries[endpoint_id] = entry
 
-    def _check(self, message: pb.ServerList) -> set[int]:
-        """Return the ids of all entries; InvalidListError at the first invalid one."""
+    def _usable_entries(self, message: pb.ServerList) -> tuple[dict[int, pb.ServerEntry], list[str]]:
+        """Return the entries that can be used, by endpoint id, and why the others are left out."""
         if len(message.servers) > MAX_ENDPOINTS:
             raise InvalidListError(f"servers: {len(message.servers)} entries, {MAX_ENDPOINTS} at most")
-        ids: set[int] = set()
+        entries: dict[int, pb.ServerEntry] = {}
+        left_out: list[str] = []
         for index, entry in enumerate(message.servers):
-            path = f"servers[{index}]"
-            _check_id(entry, path, ids)
-            ids.add(entry.id)
-            self._check_enumerations(entry, path)
-            _check_address(entry, path)
-            _check_numbers(entry, path)
-        return ids
+            try:
+                self._check(entry, f"servers[{index}]", entries)
+            except InvalidListError as error:
+                left_out.append(str(error))
+                if leaving := self._leaving_entry(entry):
+                    entries[entry.id] = leaving
+                continue
+            entries[entry.id] = entry
+        return entries, left_out
+
+    def _check(self, entry: pb.ServerEntry, path: str, entries: Container[int]) -> None:
+        """Raise InvalidListError where an entry cannot be used."""
+        _check_id(entry, path, entries)
+        self._check_enumerations(entry, path)
+        _check_address(entry, path)
+        _check_numbers(entry, path)
+
+    def _leaving_entry(self, entry: pb.ServerEntry) -> pb.ServerEntry | None:
+        """Return the known entry of an endpoint whose invalid one still says that it is leaving."""
+        known = self.entries.get(entry.id)
+        if known is None or entry.state not in (pb.ServerEntry.DRAINING, pb.ServerEntry.GONE):
+            return None
+        leaving = pb.ServerEntry()
+        leaving.CopyFrom(known)
+        leaving.state = entry.state
+        return leaving
 
     def _check_enumerations(self, entry: pb.ServerEntry, path: str) -> None:
         if entry.state not in _STATES:
@@ -174,7 +207,7 @@
         return pb.ServerList(version=self.version, servers=self.entries.values())
 
 
-def _check_id(entry: pb.ServerEntry, path: str, ids: set[int]) -> None:
+def _check_id(entry: pb.ServerEntry, path: str, ids: Container[int]) -> None:
     if entry.id == 0:
         raise InvalidListError(f"{path}.id: is required and not 0")
     if entry.id in ids:
@@ -182,16 +215,16 @@
 
 
 def _check_address(entry: pb.ServerEntry, path: str) -> None:
-    host, _, port = entry.address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    port = entry.address.rpartition(":")[2]
+    if not _ADDRESS.fullmatch(entry.address) or not 0 < int(port) <= MAX_PORT:
         quoted = repr(entry.address[:MAX_QUOTED_ADDRESS])
         raise InvalidListError(f"{path}.address: must be host:port, is {quoted}")
 
 
 def _check_numbers(entry: pb.ServerEntry, path: str) -> None:
-    if not math.isfinite(entry.weight) or entry.weight < 0:
-        raise InvalidListError(f"{path}.weight: must be a number from 0, is {entry.weight}")
-    if entry.started_unix_us < 0:
+    if not 0 <= entry.weight <= MAX_WEIGHT:
+        raise InvalidListError(f"{path}.weight: must be from 0 to {MAX_WEIGHT:.0f}, is {entry.weight}")
+    if not 0 <= entry.started_unix_us <= MAX_STARTED_UNIX_US:
         raise InvalidListError(f"{path}.started_unix_us: must not be negative, is {entry.started_unix_us}")
 
 
