Fleet: records, plans and log lines raise the error that their readers expect

What is lost: a controller that reads a record of another form leads and decides nothing any more; an agent whose node logs one line of another form reports no counts, as the comparison of its values raises. Cause: errors of other types (KeyError, TypeError, OverflowError, RecursionError) than the readers catch. Fix: one typed error of records and plans; a log line is checked before it is counted. JSON is read by rpc/json_text.py.

--- a/tuliptrack/decisions/rollout_record.py
+++ b/tuliptrack/decisions/rollout_record.py
@@ -17,6 +17,16 @@
 
 FORMAT = 1
 """Version of the JSON form; a newer one is rejected, as it may mean something else."""
+_FORM_ERRORS = (
+    AttributeError,
+    IndexError,
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+"""What reading a value of another form may raise."""
 _OPTIONAL_PLAN_FIELDS = (
     "most_out",
     "most_out_zone",
@@ -83,7 +93,20 @@
 
     @staticmethod
     def from_dict(json_form: Mapping[str, Any]) -> Record:
-        """Return the record of a JSON form, without unknown fields; PlanError if its format is newer."""
+        """Return the record of a JSON form, without unknown fields.
+
+        Raises:
+            PlanError: Its format is newer, or it is no record.
+        """
+        # Failure: a stored value of another form raises an error that no caller expects. It would show as a
+        # controller that leads and decides nothing any more.
+        try:
+            return Record._from_dict(json_form)
+        except _FORM_ERRORS as error:
+            raise PlanError(f"record: {type(error).__name__}: {error}") from None
+
+    @staticmethod
+    def _from_dict(json_form: Mapping[str, Any]) -> Record:
         if json_form.get("format", 0) > FORMAT:
             raise PlanError(f"format: {json_form['format']} is newer than {FORMAT}, which this program knows")
         plan = json_form.get("plan")
--- a/tuliptrack/fleet/controller.py
+++ b/tuliptrack/fleet/controller.py
@@ -26,6 +26,7 @@
 from tuliptrack.fleet.unary_call import CallError
 from tuliptrack.proto import rollout_pb2 as pb
 from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
 from tuliptrack.rpc.periodic import run_periodically
 from tuliptrack.rpc.server import Server
 
@@ -182,8 +183,8 @@
         """Put a settled record in force."""
         before = self._rollout.record
         try:
-            record = Record.from_dict(json.loads(value)) if value else Record()
-        except PlanError as error:
+            record = Record.from_dict(parse_json(value)) if value else Record()
+        except (InvalidJsonError, PlanError) as error:
             log.error("record rejected", reason=str(error))
             self._consensus.resign()
             return
--- a/tuliptrack/fleet/log_metrics.py
+++ b/tuliptrack/fleet/log_metrics.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import json
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
 
+from tuliptrack.rpc.json_text import is_number_within, parse_json
+
 __all__ = ["ALL_REQUESTS", "MEASURES", "LogMetrics"]
 
 ALL_REQUESTS = ""
@@ -23,6 +24,7 @@
 to count both."""
 FAILED_END = "failed"
 DEFAULT_LATE_MS = 1000.0
+MAX_LOGGED_MS = 1e12
 CHUNK_BYTES = 1 << 20
 """How much of the log is read at once; also the longest line whose beginning is kept until its end comes."""
 MAX_CLASSES = 64
@@ -99,10 +101,16 @@
 
 def _parse(line: bytes) -> _LoggedRequest | None:
     """Return the request of a log line, or None for any other line."""
+    # Failure: a line of another form raises as its values are compared. It would show as an agent that
+    # reports nothing from then on, though only this line cannot be read.
     try:
-        fields = json.loads(line)
+        fields = parse_json(line)
         if fields["event"] != REQUEST_EVENT:
             return None
-        return _LoggedRequest(str(fields["request_class"]), str(fields["end"]), fields["first_ms"])
+        request_class, end, first_ms = fields["request_class"], fields["end"], fields["first_ms"]
     except (ValueError, KeyError, TypeError):
         return None
+    is_time = first_ms is None or is_number_within(first_ms, 0, MAX_LOGGED_MS)
+    if not is_time or not isinstance(request_class, str) or not isinstance(end, str):
+        return None
+    return _LoggedRequest(request_class, end, first_ms)
--- a/tuliptrack/fleet/plan_parsing.py
+++ b/tuliptrack/fleet/plan_parsing.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import fields
 from typing import Any
 
 from tuliptrack.decisions.rollout_plan import Plan, PlanError, Release, Stage
+from tuliptrack.rpc.json_text import parse_json
 
 __all__ = ["parse_plan"]
 
@@ -18,10 +18,10 @@
         PlanError: Some field can't be used; the text names it.
     """
     try:
-        return _to_plan(json.loads(text))
+        return _to_plan(parse_json(text))
     except PlanError:
         raise
-    except (TypeError, KeyError, ValueError) as error:
+    except (AttributeError, KeyError, OverflowError, RecursionError, TypeError, ValueError) as error:
         raise PlanError(f"plan: {error}") from None
 
 
