KServe REST: a lone surrogate is an error of its field

What callers saw: an internal error for a body with "\ud800" in a text. Cause: the text was encoded where a tensor was built; UnicodeEncodeError is no error of the request. Fix: texts are checked as the body is parsed, the field is named; JSON is read by rpc/json_text.py, on the HTTP node too, so a number with too many digits is no error of the whole body.

--- a/tuliptrack/fronts/kserve/rest_requests.py
+++ b/tuliptrack/fronts/kserve/rest_requests.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
 from tuliptrack.fronts.kserve.mapping import MAX_QUOTED_NAME, InferRequest
 from tuliptrack.fronts.kserve.tensors import Tensor, TensorError, from_json, from_raw
 from tuliptrack.fronts.port import InvalidRequestError
+from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
 
 __all__ = ["parse_generate", "parse_infer"]
 
@@ -116,14 +116,41 @@
 
 def _parse_object(body: bytes, place: str) -> dict[str, Any]:
     try:
-        data = json.loads(body)
-    except (ValueError, RecursionError) as error:
-        raise InvalidRequestError(place, f"is not JSON ({error})"[:200]) from None
+        data = parse_json(body)
+    except InvalidJsonError as error:
+        raise InvalidRequestError(place, f"is not JSON ({error})") from None
     if not isinstance(data, dict):
         raise InvalidRequestError(place, "must be a JSON object")
+    _check_texts(data)
     return data
 
 
+def _check_texts(data: dict[str, Any]) -> None:
+    """Raise InvalidRequestError where a text is no Unicode text, with the field that has it."""
+    # Failure: JSON may name half of a surrogate pair, which no encoding has. It would show as an error of the
+    # program, wherever the text is encoded, in place of an answer that names the field.
+    values: list[tuple[str, Any]] = [("", data)]
+    while values:
+        place, value = values.pop()
+        if isinstance(value, str) and not _is_encodable(value):
+            raise InvalidRequestError(place, "has a lone surrogate")
+        if isinstance(value, dict):
+            for name, member in value.items():
+                if not _is_encodable(name):
+                    raise InvalidRequestError(place or "body", "has a name with a lone surrogate")
+                values.append((f"{place}.{name[:MAX_QUOTED_NAME]}".lstrip("."), member))
+        elif isinstance(value, list):
+            values += [(f"{place}[{index}]", member) for index, member in enumerate(value)]
+
+
+def _is_encodable(text: str) -> bool:
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _parse_parameters(data: Any, place: str = "parameters") -> dict[str, Any]:
     """Return a copy of a JSON object whose values are scalars."""
     if not isinstance(data, dict):
--- a/tuliptrack/relay/request_parser.py
+++ b/tuliptrack/relay/request_parser.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import math
 import re
 from collections.abc import Mapping
@@ -16,6 +15,7 @@
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Fields
 from tuliptrack.rpc.http1 import HttpCall
+from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
 
 __all__ = ["check_body", "parse_call_id", "parse_request"]
 
@@ -76,8 +76,8 @@
         InvalidRequestError: It is not.
     """
     try:
-        value = json.loads(body)
-    except (ValueError, RecursionError) as error:
+        value = parse_json(body)
+    except InvalidJsonError as error:
         raise InvalidRequestError("body", f"is not JSON ({error})"[:MAX_ERROR_CHARACTERS]) from None
     if not isinstance(value, dict):
         raise InvalidRequestError("body", "must be a JSON object")
