A request that an engine calls invalid is answered 400 and INVALID_ARGUMENT

Cause: Failure.INVALID had no entry in the tables of gRPC and REST: KeyError in place of the answer. No engine of these nodes reports it today.

--- a/tests/fronts/test_grpc_status.py
+++ b/tests/fronts/test_grpc_status.py
@@ -11,6 +11,7 @@
 
 from tuliptrack.fronts.grpc_status import failure_status
 from tuliptrack.fronts.kserve.mapping import failure_text
+from tuliptrack.fronts.kserve.rest import _STATUS_BY_FAILURE
 from tuliptrack.fronts.port import Failure
 from tuliptrack.rpc.status import Code
 
@@ -20,6 +21,7 @@
     Failure.MIGRATED: ("HANDED_BACK", Code.ABORTED),
     Failure.LOST: ("LOST", Code.UNKNOWN),
     Failure.STALLED: ("STALLED", Code.CANCELLED),
+    Failure.INVALID: ("UNUSABLE", Code.INVALID_ARGUMENT),
 }
 
 
@@ -39,3 +41,9 @@
 
 def test_an_invalid_request_keeps_its_published_name() -> None:
     assert Failure.INVALID.value == "UNUSABLE"
+
+
+def test_every_failure_has_a_code_on_grpc_and_a_status_on_rest() -> None:
+    """Failure: an engine says that a request is invalid, and the front ends by KeyError in place of an answer."""
+    assert set(PUBLISHED) == set(Failure)
+    assert set(_STATUS_BY_FAILURE) == set(Failure) and _STATUS_BY_FAILURE[Failure.INVALID] == 400
--- a/tuliptrack/fronts/grpc_status.py
+++ b/tuliptrack/fronts/grpc_status.py
@@ -21,8 +21,8 @@
     Failure.MIGRATED: Code.ABORTED,
     Failure.LOST: Code.UNKNOWN,
     Failure.STALLED: Code.CANCELLED,
+    Failure.INVALID: Code.INVALID_ARGUMENT,
 }
-"""Without `INVALID`: no engine on gRPC reports it."""
 
 
 def invalid_request_status(error: InvalidRequestError) -> Status:
--- a/tuliptrack/fronts/kserve/rest.py
+++ b/tuliptrack/fronts/kserve/rest.py
@@ -45,8 +45,8 @@
     Failure.MIGRATED: 502,
     Failure.LOST: 500,
     Failure.STALLED: 499,
+    Failure.INVALID: 400,
 }
-"""Without `INVALID`: no engine of a node with this front reports it."""
 _MODEL_PATH = re.compile(
     r"/v2/models/(?P<model>[^/]+)(?:/versions/(?P<version>[^/]+))?"
     r"(?:/(?P<operation>ready|infer|generate|generate_stream))?"
