Token budgets: a never stays a never, and an answer without tokens counts 0

Cause: the wait of a second calendar window replaced the None of the first; a complete answer without a token was learnt as -1.

--- a/tests/decisions/test_token_budget.py
+++ b/tests/decisions/test_token_budget.py
@@ -223,3 +223,23 @@
     for wrong in ((0, 1, 0), (1, 0, 0), (1, 1, 2)):
         with pytest.raises(ValueError, match="window"):
             BudgetWindow(*wrong)
+
+
+@pytest.mark.parametrize("small_first", [True, False])
+def test_what_one_calendar_window_never_allows_waits_for_no_other(small_first: bool) -> None:
+    """Failure: the wait of a second window hides the never of the first, and the client comes back in vain."""
+    small, used_up = BudgetWindow(2 * DAY, 500), BudgetWindow(DAY, 2_000)
+    budgets = budgets_of({"a": (small, used_up) if small_first else (used_up, small)})
+    budgets.restore_usage(100 * S, "a", 1_800)
+    verdict = budgets.check(100 * S, request_of(prompt_tokens=600))
+    assert verdict.is_over and verdict.retry_after_us is None
+
+
+def test_complete_outputs_without_tokens_are_learnt_as_none() -> None:
+    """Failure: a negative length is learnt, and lowers what later requests reserve."""
+    budgets = budgets_of({"a": (BudgetWindow(3_600 * S, 1_000_000),)})
+    request = request_of(max_output_tokens=1_000)
+    for request_id in range(100):
+        budgets.reserve(100 * S, request_id, request, budgets.check(100 * S, request))
+        budgets.settle(100 * S, request_id, None, is_complete=True)
+    assert budgets._estimates._estimates["a", 0].mean_tokens == 0
--- a/tuliptrack/decisions/token_budget.py
+++ b/tuliptrack/decisions/token_budget.py
@@ -54,8 +54,6 @@
 DEFAULT_GRANTS_PER_WINDOW = 10
 SKETCH_COUNTERS = 2_048
 """Size of the sketch that finds the tenants with the highest usage."""
-EMPTY_OUTPUT_TOKENS = -1
-"""What a complete output without tokens counts as in its estimate."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -261,13 +259,15 @@
     def _check_calendar(self, now_us: int, budget: _TenantBudget, units: int) -> BudgetVerdict:
         retry_after_us: int | None = 0
         window_us = 0
+        # Failure: a request that is more than one window ever allows waits for another. It would show as a
+        # client that is sent back in vain.
         for window in budget.calendar:
             unix_us = self._clock.unix_us(now_us)
             window.advance(unix_us)
             if window.used_units + units <= window.units:
                 continue
             window_us = window.length_us
-            is_never = units > window.units
+            is_never = units > window.units or retry_after_us is None
             retry_after_us = None if is_never else max(retry_after_us or 0, window.remaining_us(unix_us))
         return BudgetVerdict(window_us > 0, units, retry_after_us, window_us)
 
@@ -329,7 +329,7 @@
         request, reserved_units = reservation.request, reservation.units
         used_units = self._request_units(request, served.cached_tokens, served.output_tokens) if served else 0
         if is_complete:
-            output_tokens = served.output_tokens if served else EMPTY_OUTPUT_TOKENS
+            output_tokens = served.output_tokens if served else 0
             self._estimates.record(request.tenant, request.class_index, output_tokens)
         for bucket in reservation.buckets:
             bucket.settle(now_us, reserved_units, used_units)
