Soak: a deadline is judged by the time in which the machine let the node run

Trace: the node learns of a new connection and reads its request in four turns of its loop, of a request on a kept one in one turn; each turn waits for a processor. The kernel's account (schedstat, run queue) is now noted for each node and added to the slack between the client's write and the attempt's bytes. The check and its slack stay for the time in which the node could run: a test wants 0.5 s too much found beside 0.2 s of waiting, or waiting elsewhere.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -24,6 +24,8 @@
 from tuliptrack.lab.soak.judge import judge
 from tuliptrack.lab.soak.ports import loopback_addresses
 from tuliptrack.lab.soak.proxy import Fault, FaultProxy
+from tuliptrack.lab.soak.records import Recorder, read_records
+from tuliptrack.lab.soak.run_queue import RunQueueWatch
 from tuliptrack.lab.soak.runner import play
 from tuliptrack.lab.soak.schedule import _ADDED, FaultKind, Schedule, ScheduledFault, draw
 from tuliptrack.lab.soak.settings import World
@@ -235,6 +237,35 @@
     assert rules([*lost, {**killed, "t": 0.9}]) == {"answer"}
 
 
+def test_a_deadline_is_judged_by_the_time_in_which_the_node_could_run() -> None:
+    """The kernel's account of its run queue says how long the machine kept the node from running."""
+    told = BROKEN["deadline"]  # 0.5 s more than the client has left
+    waits: Record = {"who": "runner", "event": "waited to run", "target": "n0"}
+    before, within = {**waits, "t": 0.9, "seconds": 0.4}, {**waits, "t": 1.4, "seconds": 0.4}
+    assert rules([*served(), *told, within]) == set()
+    assert rules([*served(), *told, {**within, "seconds": 0.2}]) == {"deadline"}
+    assert rules([*served(), *told, {**within, "target": "n1"}]) == {"deadline"}
+    assert rules([*served(), *told, before]) == {"deadline"}
+
+
+def test_a_process_that_waits_for_a_processor_is_seen_to(tmp_path: Path) -> None:
+    recorder = Recorder(tmp_path, "runner")
+    busy = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(2)]
+    try:
+        os.sched_setaffinity(busy[0].pid, {0})
+        os.sched_setaffinity(busy[1].pid, {0})
+        watch = RunQueueWatch(recorder)
+        watch.look("n0", busy[0].pid)
+        time.sleep(0.5)
+        watch.look("n0", busy[0].pid)
+    finally:
+        for process in busy:
+            process.kill()
+            process.wait()
+        recorder.close()
+    assert sum(one["seconds"] for one in read_records(tmp_path)) > 0.05
+
+
 def test_a_schedule_is_the_same_for_its_seed_and_outlives_a_file() -> None:
     assert draw(7, 20.0, 3) == draw(7, 20.0, 3) != draw(8, 20.0, 3)
     assert Schedule.from_json(json.loads(json.dumps(draw(7, 20.0, 3).as_json()))) == draw(7, 20.0, 3)
--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -9,6 +9,7 @@
 from itertools import pairwise
 from typing import Any
 
+from tuliptrack.lab.soak.run_queue import RunQueueWaits
 from tuliptrack.lab.soak.schedule import FaultKind
 from tuliptrack.lab.soak.settings import DRAIN_GRACE_S, REPEAT_WINDOW_S, SLACK_S, World
 from tuliptrack.lab.soak.slow_start import slow_starts
@@ -83,7 +84,7 @@
         *_states(world, records, _Reachable(world, records), lives, margin),
         *_repeats(requests.values(), margin),
         *_after_leaving(requests.values(), margin),
-        *_deadlines(requests.values(), margin),
+        *_deadlines(requests.values(), RunQueueWaits(records), margin),
         *_advice(records, requests, troubles, lives, margin),
         *_commands(records, lives, margin),
         *_drains(records, requests, margin),
@@ -329,14 +330,16 @@
     ]
 
 
-def _deadlines(requests: Any, margin: float) -> list[Violation]:
-    """An engine is told no more time than its client has left."""
+def _deadlines(requests: Any, waits: RunQueueWaits, margin: float) -> list[Violation]:
+    """An engine is told no more time than its client has left, but for what the node was kept from running:
+    it learns of a request, and above all of a new connection, some turns of its loop after the client's write.
+    """
     return [
         Violation("deadline", one.name, f"told {told:.3f} of {one.sent + one.budget - at:.3f}")
         for one in requests
         if one.sent
         for at, _, told in one.bytes
-        if told > one.sent + one.budget - at + _TOLD_SLACK_S + margin
+        if told > one.sent + one.budget - at + _TOLD_SLACK_S + margin + waits.seconds(one.node, one.sent, at)
     ]
 
 
--- a/tuliptrack/lab/soak/runner.py
+++ b/tuliptrack/lab/soak/runner.py
@@ -20,6 +20,7 @@
 from tuliptrack.lab.soak.judge import judge
 from tuliptrack.lab.soak.ports import loopback_addresses
 from tuliptrack.lab.soak.records import Recorder, read_records
+from tuliptrack.lab.soak.run_queue import RunQueueWatch
 from tuliptrack.lab.soak.schedule import FaultKind, Schedule, ScheduledFault
 from tuliptrack.lab.soak.settings import World, node_config
 from tuliptrack.lab.soak.violation import Violation
@@ -37,6 +38,7 @@
 _SERIES_PAUSE_S = 0.01
 """Between two signals of a series."""
 _SIGNALS_AT_START = 20
+_RUN_QUEUE_LOOK_S = 0.02
 _SHIM = "from tuliptrack.lab.soak.shim import install_from_environment\ninstall_from_environment()\n"
 
 
@@ -83,9 +85,11 @@
     async def run(self) -> None:
         """Play the whole schedule. Cancelled, it ends every process that it has started, like at its end."""
         faults: list[asyncio.Task[None]] = []
+        watch: asyncio.Task[None] | None = None
         try:
             await self._start_all()
             faults += [asyncio.create_task(self._play(fault)) for fault in self.world.schedule.faults]
+            watch = asyncio.create_task(self._watch_run_queue())
             await self._until(1.0)
             before = {node: self._needs(node) for node in self.world.nodes}
             await asyncio.gather(*faults)
@@ -93,11 +97,18 @@
             self._compare(before)
             await self._end_nodes()
         finally:
-            for task in faults:
+            for task in [*faults, *([watch] if watch else [])]:
                 task.cancel()
             await self._end_all()
             self.recorder.close()
 
+    async def _watch_run_queue(self) -> None:
+        watch = RunQueueWatch(self.recorder)
+        while True:
+            for node in self.world.nodes:
+                watch.look(node, self.processes[node].pid)
+            await asyncio.sleep(_RUN_QUEUE_LOOK_S)
+
     async def _start_all(self) -> None:
         world = self.world
         for name in world.engines:
