--- a/tests/routing/test_locality.py
+++ b/tests/routing/test_locality.py
@@ -257,3 +257,15 @@
     assert (20, CrossZoneCause.FORCED) in causes and all(
         c is CrossZoneCause.FORCED for s, c in causes if s == 20
     )
+
+
+def test_a_retry_after_a_connection_failed_is_booked_as_a_retry() -> None:
+    """Failure: what a retry moves is booked as ordinary traffic of the budget, where only the connection failed,
+    as its endpoint is not excluded."""
+    far = [server(60, READ, zone=1), server(61, WRITE, zone=1)]
+    w = world(far, **BUDGET)
+    number, said = w.ask(after=S)
+    sent = only(SendAttempt, said)
+    assert sent.cross_zone_cause is CrossZoneCause.BUDGET
+    said = w.end(number, sent.endpoint_id, Status.RESET, after=10 * MS, is_connection_only=True)
+    assert only(SendAttempt, said).cross_zone_cause is CrossZoneCause.RETRY
--- a/tests/routing/test_recovery.py
+++ b/tests/routing/test_recovery.py
@@ -184,3 +184,22 @@
         assert not set(homes) & set(at)
         homes += [next(one for one in at if one is not None)]
     assert served_at(w, set(homes), 5_000) is None
+
+
+def test_a_restarted_endpoint_does_not_keep_its_predecessors_time_per_token() -> None:
+    """Failure: an engine that was slow restarts and is estimated by what the process before it needed."""
+    w = world(fleet(readers=2, writers=2))
+    for prefix in range(1, 41):
+        number, actions = w.ask(after=200 * MS, prefix=prefix)
+        if not [action for action in actions if isinstance(action, SendAttempt)]:
+            continue
+        sent = only(SendAttempt, actions)
+        took = 900 * MS if sent.endpoint_id == 10 else 20 * MS
+        actions = w.end(number, sent.endpoint_id, Status.PREFILLED, after=took)
+        w.start(number, only(SendAttempt, actions).endpoint_id, after=MS)
+        w.end(number, only(SendAttempt, actions).endpoint_id, Status.OK, after=MS, is_final=True)
+    endpoint = w.router.endpoints[10]
+    assert endpoint.service_tokens, "it was used"
+    assert endpoint.us_per_token(w.now) > 2 * w.router.endpoints[11].us_per_token(w.now)
+    w.list(server(10, READ, started_at_us=w.now))
+    assert endpoint.us_per_token(w.now) == endpoint.statistics.us_per_token
