Soak: a fault begins at the schedule's moment, not when the runner notes it

Trace: a proxy reset the connection at its moment (4206.4957 by the schedule, broken off at 4206.4989, the client's end at 4206.5024); the runner noted the fault at 4206.5030, after that end, so the judge took it for no trouble. Change: the note has the schedule's moment, and the span begins with the earlier of the two. A test wants a stream that ended before the moment still found.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -205,6 +205,22 @@
     assert rules([*served(), *BROKEN["event held back"], {**silence, "target": "n0"}]) == set()
 
 
+def test_a_fault_begins_at_its_moment_and_not_when_the_runner_notes_it() -> None:
+    """Seed 1437: a proxy reset a connection 7 ms before the runner's note of it."""
+    reset: Record = {
+        "t": 5.01,
+        "who": "runner",
+        "event": "fault",
+        "kind": "reset connections",
+        "target": "w1",
+        "until": 5.1,
+        "amount": 0.0,
+    }
+    assert rules([*served(), *BROKEN["stream"], {**reset, "at": 4.99}]) == set()
+    assert rules([*served(), *BROKEN["stream"], {**reset, "at": 5.005}]) == {"stream"}
+    assert rules([*served(), *BROKEN["stream"], reset]) == {"stream"}
+
+
 def test_a_cold_engine_bears_its_part_of_the_quotas_and_only_what_was_told_counts() -> None:
     start = BROKEN["slow start"]
     assert rules(start[:12]) == set()  # ten calls
--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -198,7 +198,9 @@
         for one in records:
             if one["event"] == "fault" and one["kind"] not in _NO_EXCUSE:
                 delay = one["amount"] if one["kind"] == FaultKind.DELAY.value else 0.0
-                self._spans[one["target"]].append((one["t"], world.began + one["until"] + delay))
+                # Other processes play their part by the schedule, a little before the runner notes it.
+                start = min(one["t"], world.began + one.get("at", float("inf")))
+                self._spans[one["target"]].append((start, world.began + one["until"] + delay))
 
     def met_by(self, one: _Request) -> bool:
         """Whether a request's node or one of its engines was in trouble before its answer ended."""
--- a/tuliptrack/lab/soak/runner.py
+++ b/tuliptrack/lab/soak/runner.py
@@ -181,7 +181,12 @@
         """The part of a fault that is played by signals."""
         await self._until(fault.at)
         self.recorder.note(
-            "fault", kind=fault.kind.value, target=fault.target, until=fault.until, amount=fault.amount
+            "fault",
+            kind=fault.kind.value,
+            target=fault.target,
+            at=fault.at,
+            until=fault.until,
+            amount=fault.amount,
         )
         match fault.kind:
             case FaultKind.ENGINE_STOPS | FaultKind.NODE_HELD_UP:
