Soak: a stream that is handed back to be resumed is no lost answer

Trace: the node's line has 'the stream is handed back to be resumed', 0.6 ms after the first token; the engine went on and noted its end. The settings allow that clients resume streams, so the case is allowed.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -205,6 +205,25 @@
     assert rules([*served(), *BROKEN["event held back"], {**silence, "target": "n0"}]) == set()
 
 
+def test_a_stream_that_is_handed_back_is_no_lost_answer_but_for_hostile_advice() -> None:
+    """Seed 1411: a node handed a stream back to be resumed, and its engine went on to the end."""
+    cut_off = [*BROKEN["advice"][:2], {**BROKEN["advice"][2], "status": 200, "whole": False}]
+    advice: Record = {
+        "t": 1.1,
+        "who": "runner",
+        "event": "fault",
+        "kind": "an engine's load reports and token counts cannot be used",
+        "target": "w1",
+        "until": 2.0,
+        "amount": 0.0,
+    }
+    assert rules([*served(), *cut_off]) == set()
+    assert rules([*served(), *cut_off, advice]) == {"advice"}
+    assert rules([*served(), *cut_off, {**advice, "target": "w0"}]) == set()
+    ending = {"t": 0.5, "who": "runner", "event": "terminated", "target": "n0"}
+    assert rules([*served(), *cut_off, advice, ending]) == set()
+
+
 def test_a_fault_begins_at_its_moment_and_not_when_the_runner_notes_it() -> None:
     """Seed 1437: a proxy reset a connection 7 ms before the runner's note of it."""
     reset: Record = {
