--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -238,6 +238,10 @@
     assert rules([*served(), *BROKEN["stream"], {**reset, "at": 4.99}]) == set()
     assert rules([*served(), *BROKEN["stream"], {**reset, "at": 5.005}]) == {"stream"}
     assert rules([*served(), *BROKEN["stream"], reset]) == {"stream"}
+    # It ends when a stand-in ends it, by what those are late at most.
+    over = {**reset, "t": 0.5, "at": 0.5}
+    assert rules([*served(), *BROKEN["stream"], {**over, "until": 0.96}]) == set()
+    assert rules([*served(), *BROKEN["stream"], {**over, "until": 0.94}]) == {"stream"}
 
 
 def test_a_cold_engine_bears_its_part_of_the_quotas_and_only_what_was_told_counts() -> None:
--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -75,7 +75,7 @@
 def judge(world: World, records: list[dict[str, Any]], lag_s: float) -> list[Violation]:
     """Every violation; `lag_s` is by how much the stand-ins themselves were late."""
     margin = 0.05 + lag_s
-    requests, troubles = _collect(records), _Troubles(world, records)
+    requests, troubles = _collect(records), _Troubles(world, records, margin)
     lives = _Lives(records, margin)
     return [
         *_answers(requests.values(), lives, _Crowds(world, records), margin),
@@ -193,14 +193,15 @@
 class _Troubles:
     """When something went wrong at an engine, on the way to it, or at a node."""
 
-    def __init__(self, world: World, records: list[dict[str, Any]]) -> None:
+    def __init__(self, world: World, records: list[dict[str, Any]], margin: float) -> None:
+        """`margin`: so late the stand-ins may end a fault."""
         self._spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
         for one in records:
             if one["event"] == "fault" and one["kind"] not in _NO_EXCUSE:
                 delay = one["amount"] if one["kind"] == FaultKind.DELAY.value else 0.0
                 # Other processes play their part by the schedule, a little before the runner notes it.
                 start = min(one["t"], world.began + one.get("at", float("inf")))
-                self._spans[one["target"]].append((start, world.began + one["until"] + delay))
+                self._spans[one["target"]].append((start, world.began + one["until"] + delay + margin))
 
     def met_by(self, one: _Request) -> bool:
         """Whether a request's node or one of its engines was in trouble before its answer ended."""
