--- a/review/1/case.py
+++ b/review/1/case.py
@@ -132,8 +132,9 @@
     if late:
         return BROKEN, (
             f"rule broken: {len(late)} of {len(replies)} usual requests got no final answer by half a second "
-            f"after their time; {len(slow_bad)} of {len(bad)} bad clients waited for more than "
-            f"{OWED_TO_BAD_CLIENTS_S:g} s"
+            f"after their time (their calls took {min(r.took_s for r in late):.1f} to "
+            f"{max(r.took_s for r in late):.1f} s); {len(slow_bad)} of {len(bad)} bad clients waited for more "
+            f"than {OWED_TO_BAD_CLIENTS_S:g} s ({max(slow_bad, default=0):.1f} s at most)"
         )
     return HELD, f"rule held: all {len(replies)} usual requests got their answers in time"
 
