Review, case 1: the memory that the stopped node takes, with a limit of 128 MB

Cause: the node that processes chunks of one byte for half a minute also keeps an object for each of them.

Change: the case states a memory limit of 128 MB, reads the node's peak and reports it; the answers are judged as before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -129,12 +129,14 @@
     late = [reply for reply in replies if not reply.status or first_answer_late(reply)]
     slow_bad = [took_s for took_s in await asyncio.gather(*bad) if took_s > OWED_TO_BAD_CLIENTS_S]
     record.add("test", f"the node {'runs' if node.is_running() else 'has ended'}")
+    memory = f"memory {node.peak_memory_mb():.0f} of {node.memory_mb} MB at most"
+    record.add("test", f"the node's {memory}")
     if late:
         return BROKEN, (
             f"rule broken: {len(late)} of {len(replies)} usual requests got no final answer by half a second "
             f"after their time (their calls took {min(r.took_s for r in late):.1f} to "
             f"{max(r.took_s for r in late):.1f} s); {len(slow_bad)} of {len(bad)} bad clients waited for more "
-            f"than {OWED_TO_BAD_CLIENTS_S:g} s ({max(slow_bad, default=0):.1f} s at most)"
+            f"than {OWED_TO_BAD_CLIENTS_S:g} s ({max(slow_bad, default=0):.1f} s at most); {memory}"
         )
     return HELD, f"rule held: all {len(replies)} usual requests got their answers in time"
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -391,7 +391,7 @@
     def __init__(self, record: Record, folder: Path, agent: Agent, node_settings: dict[str, Any]) -> None:
         self.record, self.folder, self.agent = record, folder, agent
         self.address = f"127.0.0.1:{free_port()}"
-        self.memory_mb, self.sockets = 192, 1024
+        self.memory_mb, self.sockets = 128, 1024
         self.node_settings = node_settings
         self.process: subprocess.Popen[bytes] | None = None
         self.log_path = folder / "node.log"
@@ -451,10 +451,11 @@
         assert self.process
         return self.process.poll() is None
 
-    def rss_mb(self) -> float:
+    def peak_memory_mb(self) -> float:
+        """Return the highest resident size of the node so far; 0 if it has ended."""
         with contextlib.suppress(OSError):
             for line in Path(f"/proc/{self.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS:"):
+                if line.startswith("VmHWM:"):
                     return int(line.split()[1]) / 1024
         return 0.0
 
