--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -569,12 +569,13 @@
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add("test", f"begins, {'with' if trouble else 'without'} the disruption")
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # So that the node is ended in this case too.
     try:
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             code, verdict = asyncio.run(_within(case(record, Path(temporary), trouble), limit_s))
     except CannotRunError as error:
         code, verdict = NOT_RUN, f"not run: {error}"
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, KeyboardInterrupt) as error:
         code, verdict = NOT_RUN, f"not run: {type(error).__name__}: {error}"
     record.add("verdict", verdict)
     record.close()
