Limit the work on received input in one iteration of the loop, over all connections

Cause: everything that one read brought was processed before the loop went on, for each readable connection in the same iteration; the limit counted requests of one connection, not parts of all. Each part of a body was kept as an object of its own. Requests that were read late got their whole budget from then on.

Change: rpc/input_scheduler.py limits the parts that one iteration processes, shared by all connections of a loop: HTTP server, HTTP client (engines, discovery), gRPC frames of both sides. Connections with more take turns and are not read meanwhile. Bodies, and the lists of discovery, are one buffer. Requests are dated by the arrival of their last byte: arrival_times.py for bytes that wait for a turn or behind another request, polled_loop.py for bytes unread while the loop was busy.

test_process_failures.py: the signal "as the loop is made" came from a patch of asyncio.new_event_loop, which the node no longer calls; it comes from the loop's constructor now, which both ways of making a loop go through.

--- a/tests/relay/test_deadlines.py
+++ b/tests/relay/test_deadlines.py
@@ -6,13 +6,18 @@
 
 import pytest
 from relay_harness import (
+    FINAL_EVENTS,
+    STREAM_HEAD,
+    TOKEN_EVENTS,
     Platform,
     ReceivedRequest,
     Script,
     answer_decode,
     answer_prefill,
+    chunk,
     delay_connections,
     platform,
+    read_reply,
     request,
 )
 from world import run
@@ -113,3 +118,27 @@
             assert deadlines.excess() > TOLERANCE_S
 
     run(go, virtual=True)
+
+
+def test_a_request_that_waited_behind_an_earlier_one_gets_no_new_budget() -> None:
+    """Guards against an attempt that begins after its client has given up: the client counts its budget from
+    when it sent the request, not from when the node had time for it."""
+
+    async def go() -> None:
+        async def slow_decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if received.call_id != "first":
+                await answer_decode(received, writer)
+                return
+            writer.write(STREAM_HEAD + chunk(TOKEN_EVENTS[0]))
+            await asyncio.sleep(1.0)
+            writer.write(chunk(b"".join(FINAL_EVENTS)) + b"0\r\n\r\n")
+
+        async with platform(r0=answer_prefill, w0=slow_decode) as p:
+            reader, writer = await p.connect()
+            writer.write(request("first") + request("second", budget="0.500") + request("third"))
+            replies = [await read_reply(reader) for _ in range(3)]
+            assert [reply.status for reply in replies] == [200, 503, 200]
+            assert {received.call_id for received in p.received("POST")} == {"first", "third"}
+            writer.close()
+
+    run(go, virtual=True)
--- a/tests/relay/test_process_failures.py
+++ b/tests/relay/test_process_failures.py
@@ -299,11 +299,11 @@
     STOP_FUNCTION
     + """
 import asyncio
-_make = asyncio.new_event_loop
-def make():
+_initialise = asyncio.SelectorEventLoop.__init__
+def initialise(*arguments):
     stop()
-    return _make()
-asyncio.new_event_loop = make
+    _initialise(*arguments)
+asyncio.SelectorEventLoop.__init__ = initialise
 """
 )
 
--- a/tuliptrack/fronts/kserve/rest.py
+++ b/tuliptrack/fronts/kserve/rest.py
@@ -30,7 +30,6 @@
 from tuliptrack.fronts.kserve.rest_requests import parse_generate, parse_infer
 from tuliptrack.fronts.kserve.tensors import encode_element
 from tuliptrack.fronts.port import Core, Failure, FinishReason, InvalidRequestError, RequestHandle, Usage
-from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Rejection
 
 __all__ = ["RestListener", "make"]
@@ -277,7 +276,7 @@
             write = _write_binary if is_binary_wanted else _write_json
         else:
             infer = parse_generate(model, version, call.body)
-        request = client_request_of(infer, self.config.kserve, now_us(), None, call.connection)
+        request = client_request_of(infer, self.config.kserve, call.received_at_us, None, call.connection)
         response: _CompleteResponse | _EventStreamResponse
         if operation == "generate_stream":
             response = _EventStreamResponse(call, infer)
--- a/tuliptrack/relay/__main__.py
+++ b/tuliptrack/relay/__main__.py
@@ -19,6 +19,7 @@
 from tuliptrack.relay.config import RelayConfig, RelayConfigError, RelayConfigUnreadableError, load
 from tuliptrack.relay.node import RelayNode
 from tuliptrack.rpc.loop_errors import log_loop_errors
+from tuliptrack.rpc.polled_loop import new_event_loop
 from tuliptrack.rpc.process_signals import STOP_SIGNALS, ProcessSignals
 from tuliptrack.rpc.retry import retry
 
@@ -75,7 +76,7 @@
     set_up(json_lines=False, colours=False)
     try:
         config = _load_at_start(signals)
-        loop = retry("opening an event loop", asyncio.new_event_loop, CONFIG_RETRY_S)
+        loop = retry("opening an event loop", new_event_loop, CONFIG_RETRY_S)
         with asyncio.Runner(loop_factory=lambda: loop) as runner:
             runner.run(_run(config, signals))
     except RelayConfigError as error:
--- a/tuliptrack/relay/agent_polls.py
+++ b/tuliptrack/relay/agent_polls.py
@@ -78,7 +78,7 @@
     exchange: Exchange
     started_at: float
     last_received_at: float
-    body: list[bytes] = field(default_factory=list)
+    body: bytearray = field(default_factory=bytearray)
     outcome: ExchangeOutcome = ExchangeOutcome.CANCELLED
     failure: str = ""
 
@@ -93,7 +93,7 @@
             raise OSError(self.failure)
         if self.exchange.status != _HTTP_OK:
             raise OSError(f"answered {self.exchange.status}")
-        return parse_json(b"".join(self.body))
+        return parse_json(bytes(self.body))
 
 
 class AgentPolls:
@@ -191,7 +191,7 @@
         poll = _Poll(Exchange("GET", self._target(), [("host", self.address)]), now_s, now_s)
 
         def record_data(part: bytes) -> None:
-            poll.body.append(part)
+            poll.body += part
             poll.last_received_at = self._loop.time()
 
         def record_end(outcome: ExchangeOutcome, failure: str) -> None:
--- a/tuliptrack/relay/request_parser.py
+++ b/tuliptrack/relay/request_parser.py
@@ -12,7 +12,6 @@
 
 from tuliptrack.fronts.port import ClientRequest, InvalidRequestError
 from tuliptrack.relay.forwarded_request import ForwardedRequest
-from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import Fields
 from tuliptrack.rpc.http1 import HttpCall
 from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
@@ -105,7 +104,7 @@
         max_tokens=_parse_count(info, "max_out"),
         is_retry=repeat == "1",
         connection=call.connection,
-        first_token_deadline_us=_parse_budget(headers.get("x-budget")),
+        first_token_deadline_us=_parse_budget(headers.get("x-budget"), call.received_at_us),
         is_resumed=repeat == "again",
         call_id=call_id,
         is_disconnected=call.has_disconnected,
@@ -139,8 +138,12 @@
     return int(value)
 
 
-def _parse_budget(text: str | None) -> int | None:
-    """Return the monotonic time in microseconds at which the budget, stated in seconds, is used up."""
+def _parse_budget(text: str | None, received_at_us: int) -> int | None:
+    """Return the monotonic time in microseconds at which the budget, stated in seconds, is used up.
+
+    The client counts it from when it sent the request, so the time for which the request has waited at this
+    node is part of it.
+    """
     if text is None:
         return None
     budget_s = _parse_float(text)
@@ -149,7 +152,7 @@
         raise InvalidRequestError(
             "x-budget", f"must be seconds above 0, up to {MAX_BUDGET_S:.0f}, is {quoted}"
         )
-    return now_us() + int(budget_s * 1e6)
+    return received_at_us + int(budget_s * 1e6)
 
 
 def _parse_float(text: str) -> float:
--- a/tuliptrack/rpc/core.py
+++ b/tuliptrack/rpc/core.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import sys
 import zlib
 from collections import deque
 from collections.abc import Callable, Iterable, Iterator
@@ -197,8 +198,13 @@
             self.h2.increment_flow_control_window(lim.connection_window - 65_535)
         self.calls: dict[int, _Call] = {}
         self.dead = False
-        self._partial_frame = b""
-        """The start of an incomplete frame; shorter than the largest frame allowed."""
+        self._unprocessed = b""
+        """Received bytes that were not processed: the start of an incomplete frame, shorter than the largest
+        frame allowed, or whatever the quantum of `receive` has left over."""
+        self.has_input = False
+        """Whether `receive` has ended because of its quantum: a further call continues."""
+        self.work_done = 0
+        """The work that the last call of `receive` has done, in units of `input_scheduler`."""
         self._preface = b"" if client else b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
         """The part of the client preface that has not been received yet."""
         self.draining = False
@@ -229,13 +235,17 @@
 
     # -- input
 
-    def receive(self, data: bytes, now: int) -> list[Event]:
-        """Take bytes from the peer; `now` in microseconds. Never raises: errors become events."""
+    def receive(self, data: bytes, now: int, quantum: int = sys.maxsize) -> list[Event]:
+        """Take bytes from the peer; `now` in microseconds. Never raises: errors become events.
+
+        After about `quantum` units of work no further frame is begun, and `has_input` tells so.
+        """
         events: list[Event] = []
+        self.has_input, self.work_done = False, 0
         if self.dead:
             return events
         try:
-            for event in self._frames(data, events):
+            for event in self._frames(data, events, quantum):
                 kind = type(event)
                 if kind in (h2.events.PingReceived, h2.events.RemoteSettingsChanged) or (
                     kind is h2.events.DataReceived and not event.data and event.stream_ended is None
@@ -264,18 +274,21 @@
             self._send_events = []
         return events
 
-    def _frames(self, data: bytes, events: list[Event]) -> Iterator[Any]:
+    def _frames(self, data: bytes, events: list[Event], quantum: int) -> Iterator[Any]:
         """Split the bytes into frames: plain DATA frames are handled here, others become events of h2."""
         if self._preface:
             size = min(len(self._preface), len(data))
             self._preface = self._preface[size:] if data[:size] == self._preface[:size] else b""
             yield from self.h2.receive_data(data[:size])
             data = data[size:]
-        if self._partial_frame:
-            data = self._partial_frame + data
+        if self._unprocessed:
+            data = self._unprocessed + data
         at = passed = 0
         end = len(data)
         while end - at >= 9:
+            if self.work_done + len(events) >= quantum:  # A frame may hold many messages, an event each.
+                self.has_input = True
+                break
             size = data[at] << 16 | data[at + 1] << 8 | data[at + 2]
             after = at + 9 + size
             if size > self.h2.max_inbound_frame_size:
@@ -283,6 +296,7 @@
                 raise _FrameTooLarge(f"frame of {size} bytes, {self.h2.max_inbound_frame_size} allowed")
             if after > end:
                 break
+            self.work_done += 1
             if not data[at + 3]:
                 stream = int.from_bytes(data[at + 5 : at + 9], "big")
                 call = self.calls.get(stream)
@@ -297,9 +311,10 @@
                         self._receive_data(call, data[at + 9 : after], size, events)
                         passed = after
             at = after
-        self._partial_frame = data[at:]
+        self._unprocessed = data[at:]
         if passed < at:
             yield from self.h2.receive_data(data[passed:at])
+        self.work_done += len(events)
 
     def lost(self, reason: str) -> list[Event]:
         """End every open call, because the socket is closed or abandoned."""
@@ -308,7 +323,7 @@
     def _break(
         self, events: list[Event], code: int, reason: str, is_goaway_sent: bool = False
     ) -> list[Event]:
-        self.dead = True
+        self.dead, self.has_input = True, False
         if not is_goaway_sent:
             frame = GoAwayFrame(
                 0,
--- a/tuliptrack/rpc/h1.py
+++ b/tuliptrack/rpc/h1.py
@@ -83,8 +83,9 @@
     def __init__(self, header_bytes: int, body_bytes: int) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
         self.body_bytes = body_bytes
-        self._parts: list[bytes] = []
-        self._size = 0
+        # One buffer, not a list of parts: an object for each part would cost many times the bytes of a body
+        # in small chunks.
+        self._body = bytearray()
         self._chunked = False
 
     def receive(self, data: bytes) -> None:
@@ -124,18 +125,17 @@
             content_length = int(next((value for name, value in fields if name == "content-length"), "0"))
             if content_length > self.body_bytes:
                 raise ProtocolError(413, f"body: {content_length} bytes, {self.body_bytes} allowed")
-            self._parts, self._size, self._chunked = [], 0, "transfer-encoding" in names
+            self._body, self._chunked = bytearray(), "transfer-encoding" in names
             return RequestHead(
                 event.method.decode("ascii"), event.target.decode("latin-1"), fields, content_length
             )
         if isinstance(event, h11.Data):
-            self._size += len(event.data)
-            if self._size > self.body_bytes:
+            if len(self._body) + len(event.data) > self.body_bytes:
                 raise ProtocolError(413, f"body: more than {self.body_bytes} bytes")
-            self._parts.append(bytes(event.data))
-            return BodyPart(self._parts[-1] if self._chunked else b"")
+            self._body += event.data
+            return BodyPart(bytes(event.data) if self._chunked else b"")
         if isinstance(event, h11.EndOfMessage):
-            body, self._parts = b"".join(self._parts), []
+            body, self._body = bytes(self._body), bytearray()
             return RequestBody(body)
         return None
 
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -7,12 +7,13 @@
 `HttpCall`: `respond`, or `start`, `send`, `end` for a stream, which is chunked, or for HTTP/1.0 clients
 delimited by the close of the connection.
 
-Limits: the number of connections (at the limit, the connection that has been idle for longest is evicted),
-header and body sizes, the bytes of request bodies being received (a `ByteBudget` shared with the other
-servers), the time from the connect to the first complete request, the time to receive each request, and the
-bytes that wait for a slow reader (`send` returns False, `on_writable` is called once it may continue). A
-rejection that is known from the headers is sent before the body is read, and the connection is closed after
-it. A connection has no task: its transport calls back, and one timer enforces its timeouts.
+Limits: the work on received input in one iteration of the loop (`input_scheduler.py`), the number of
+connections (at the limit, the connection that has been idle for longest is evicted), header and body sizes,
+the bytes of request bodies being received (a `ByteBudget` shared with the other servers), the time from the
+connect to the first complete request, the time to receive each request, and the bytes that wait for a slow
+reader (`send` returns False, `on_writable` is called once it may continue). A rejection that is known from
+the headers is sent before the body is read, and the connection is closed after it. A connection has no task:
+its transport calls back, and one timer enforces its timeouts.
 
 A connection is closed in this order: pending output is sent, the write side is shut down, input is read and
 discarded until the client closes as well (at most `_LINGER_S` and `_LINGER_BYTES`), and the socket is closed.
@@ -38,7 +39,10 @@
 import structlog
 
 from tuliptrack.decisions.concurrency_limit import BODIES_FULL, ByteBudget, rejection_text
+from tuliptrack.rpc.arrival_times import ArrivalTimes
+from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import BodyPart, Fields, ProtocolError, RequestBody, RequestHead, ServerSide
+from tuliptrack.rpc.input_scheduler import QUANTUM, READ_BYTES, REQUEST_WORK, InputScheduler
 from tuliptrack.rpc.listener import Listener
 from tuliptrack.rpc.tcp import has_unread, is_closed_by_peer, set_nodelay
 
@@ -46,7 +50,6 @@
 
 log = structlog.get_logger("rpc.http1")
 _SEND_BUFFER = 65_536  # kernel send buffer per connection, which a slow reader can fill
-_MAX_REQUESTS_PER_ITERATION = 4  # requests of one connection, before the loop serves others
 _MAX_PIPELINED_BYTES = 65_536  # input that is buffered while a request is answered
 _LINGER_S, _LINGER_BYTES = 1.0, 1_048_576  # seconds and input bytes for which a client's close is awaited
 _MAX_EVICTION_CANDIDATES = 16  # connections of each kind that are examined for an eviction
@@ -97,6 +100,7 @@
         "on_cancelled",
         "on_writable",
         "open",
+        "received_at_us",
         "started",
         "target",
     )
@@ -106,6 +110,8 @@
         self.method, self.target, self.fields = method, target, fields
         self.headers = dict(fields)
         self.body = b""
+        self.received_at_us = 0
+        """When the last byte of the request arrived, in monotonic microseconds."""
         self.open, self.started = True, False
         self.on_cancelled: Callable[[str], None] = _noop
         self.on_writable: Callable[[], None] = _noop
@@ -160,8 +166,8 @@
         return self.open and (self._link.transport.is_closing() or is_closed_by_peer(self._link.transport))
 
 
-class _HttpLink(asyncio.Protocol):
-    """One connection."""
+class _HttpLink(asyncio.BufferedProtocol):
+    """One connection; see `input_scheduler.Receiver`."""
 
     def __init__(self, server: HttpServer) -> None:
         self.server, self.loop = server, server.loop
@@ -185,8 +191,12 @@
         self._linger_deadline = 0.0
         self._timer: asyncio.TimerHandle | None = None
         self._was_mid_request = False
-        self._requests_left = 0
-        """Requests that may still be handled in this iteration of the loop."""
+        self._inputs = InputScheduler.of(server.loop)
+        self._arrivals = ArrivalTimes()
+        self._is_input_pending = False
+        """Whether received bytes may hold an event that was not processed yet."""
+        self._work_done = 0
+        """Work done on input in this turn."""
 
     # -- asyncio.Protocol
 
@@ -203,14 +213,20 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
         self._start_timer()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._inputs.read_buffer
+
+    def buffer_updated(self, size: int) -> None:
         if self._is_lingering:
-            self._discarded_bytes += len(data)
+            self._discarded_bytes += size
             if self._discarded_bytes > _LINGER_BYTES:
                 self.transport.close()
         elif not self._is_over_limit and not (self.closing and self.call is None):
-            self.side.receive(data)
-            self._advance()
+            is_more_unread = size == READ_BYTES and has_unread(self.transport)
+            self._arrivals.received(size, self._inputs.earliest_arrival_us(), is_more_unread)
+            self.side.receive(bytes(self._inputs.read_buffer[:size]))
+            self._is_input_pending = True
+            self._process_input()
             self._is_over_limit = self.call is not None and self.side.buffered_bytes > _MAX_PIPELINED_BYTES
 
     def eof_received(self) -> bool:
@@ -222,13 +238,16 @@
             self.closing = True
             self.call.cancel("the client has closed its connection")
             return False
-        self._advance()
+        # What came before the end has been processed: a connection with pending input is not read.
+        self._is_input_pending = True
+        self.process_input(QUANTUM)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.closing = True
         if self._timer:
             self._timer.cancel()
+        self._inputs.remove(self)
         self.release_body()
         call, self.call, self._receiving = self.call, None, None
         self.server.remove(self)
@@ -245,39 +264,48 @@
 
     # -- input
 
-    def _advance(self) -> None:
-        """Process the received bytes: requests in order, as long as each is answered immediately.
+    def _process_input(self) -> None:
+        """Process the received bytes, now or in turn; until then nothing more is read."""
+        self._inputs.process(self)
+        if self.has_input():
+            self._arrivals.reading_paused(now_us())
+            self.transport.pause_reading()
+
+    def has_input(self) -> bool:
+        return self._is_input_pending and self.call is None and not self.closing
 
-        The number of requests in one iteration of the loop is limited, so that a client that pipelines
-        hundreds of them does not delay others.
-        """
+    def process_input(self, quantum: int) -> int:
+        """Process requests in order, as long as each is answered immediately."""
+        self._work_done = 0
+        if self.has_input():
+            self._advance(quantum)
+        if not self.has_input() and not self.transport.is_reading() and not self.transport.is_closing():
+            self._arrivals.reading_resumed(has_unread(self.transport))
+            self.transport.resume_reading()
+        return self._work_done
+
+    def abort(self) -> None:
+        self.transport.abort()
+
+    def _advance(self, quantum: int) -> None:
         if self._advancing:
             return
         self._advancing = True
-        self._requests_left = _MAX_REQUESTS_PER_ITERATION
         try:
-            while self.call is None and not self.closing and self._requests_left and self._step():
-                pass
+            while self.has_input() and self._work_done < quantum:
+                self._work_done += 1
+                self._is_input_pending = self._step()
         except ProtocolError as error:
             self.reject(Rejection(error.status, error.reason))
         finally:
             self._advancing = False
-        if self.call is None and (
-            self.closing or self.side.is_over or (self._is_over_limit and self._requests_left)
-        ):
+        if self.call is not None:
+            return
+        if self.closing or self.side.is_over or (self._is_over_limit and not self._is_input_pending):
             self.close_gracefully()
-        elif not self._requests_left and self.call is None:
-            self.transport.pause_reading()
-            self.loop.call_soon(self._resume_advancing)
-        elif self.call is None and (self._timer is None or self.side.is_mid_request != self._was_mid_request):
+        elif self._timer is None or self.side.is_mid_request != self._was_mid_request:
             self._start_timer()
 
-    def _resume_advancing(self) -> None:
-        """Continue `_advance` in a new iteration of the loop, after other connections were served."""
-        if not self.closing and self.call is None:
-            self.transport.resume_reading()
-            self._advance()
-
     def _step(self) -> bool:
         """Process one event; False if more bytes are needed."""
         event = self.side.next()
@@ -310,7 +338,8 @@
 
     def _handle_request(self, call: HttpCall) -> None:
         self.call, self.served = call, True
-        self._requests_left -= 1
+        self._work_done += REQUEST_WORK
+        call.received_at_us = self._arrivals.of_processed(self.side.buffered_bytes, now_us())
         self.server.mark_busy(self)
         if self._timer:
             self._timer.cancel()
@@ -392,7 +421,7 @@
             return
         if not self._advancing:  # Otherwise `_advance` sets the timer, once for all requests.
             self._start_timer()
-            self.loop.call_soon(self._advance)
+            self.loop.call_soon(self._process_input)
 
     def abort_response(self) -> None:
         """Close the connection in mid-answer; the part that was sent is still delivered."""
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -1,7 +1,8 @@
 """One HTTP/1.1 client connection on asyncio.
 
 `h1.ClientSide` keeps the protocol state; this module handles the socket. A connection carries one exchange at
-a time, and never retries one.
+a time, and never retries one. The work on an answer that comes in many parts is limited, as described in
+`input_scheduler.py`.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 
 from tuliptrack.rpc.h1 import BodyPart, ClientSide, ProtocolError, ResponseEnd, ResponseHead
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
+from tuliptrack.rpc.input_scheduler import QUANTUM, InputScheduler
 from tuliptrack.rpc.tcp import is_closed_by_peer, is_established, set_nodelay
 
 __all__ = ["ClientConnection", "ClientOptions", "Owner"]
@@ -55,8 +57,8 @@
         """Whether the kernel reports any of the pool's connections as established."""
 
 
-class ClientConnection(asyncio.Protocol):
-    """One connection; see `http1_exchange.Carrier`."""
+class ClientConnection(asyncio.BufferedProtocol):
+    """One connection; see `http1_exchange.Carrier` and `input_scheduler.Receiver`."""
 
     def __init__(self, owner: Owner, opened_for: Exchange) -> None:
         self.owner = owner
@@ -70,6 +72,11 @@
         self.opened_at = self.heard_at = 0.0
         """When the connection was opened, and when something was last received on it, on the loop's clock."""
         self._is_reused = False
+        self._inputs = InputScheduler.of(owner.loop)
+        self._is_input_pending = False
+        """Whether received bytes may hold an event that was not processed yet."""
+        self._is_held = False
+        """Whether the exchange asks to read nothing."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -100,9 +107,12 @@
         if not self.transport.get_write_buffer_size():
             self._sent(exchange)
         if exchange.paused:
-            self.transport.pause_reading()
+            self.pause()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._inputs.read_buffer
 
-    def data_received(self, data: bytes) -> None:
+    def buffer_updated(self, size: int) -> None:
         self.owner.mark_heard()
         self.heard_at = self.owner.loop.time()
         exchange = self.exchange
@@ -110,23 +120,52 @@
             self.drop("unasked")
             return
         exchange.heard = exchange.heard or exchange.sent
-        self._receive(exchange, data)
+        self.side.receive(bytes(self._inputs.read_buffer[:size]))
+        self._is_input_pending = True
+        self._inputs.process(self)
+        self._update_reading()
 
-    def _receive(self, exchange: Exchange, data: bytes) -> None:
-        self.side.receive(data)
+    def has_input(self) -> bool:
+        return self._is_input_pending and self.exchange is not None
+
+    def process_input(self, quantum: int) -> int:
+        """Pass parts of the answer to the exchange, in order."""
+        work = 0
         try:
-            while exchange.open and (event := self.side.next()) is not None:
-                if isinstance(event, ResponseHead):
-                    exchange.status = event.status
-                    exchange.on_head(event)
-                elif isinstance(event, BodyPart):
-                    exchange.on_data(event.data)
-                elif isinstance(event, ResponseEnd):
-                    self._done(exchange)
-                    return
+            while self.has_input() and work < quantum:
+                work += 1
+                self._is_input_pending = self._step()
         except ProtocolError as error:
-            exchange.is_malformed = True
+            if self.exchange:
+                self.exchange.is_malformed = True
             self._broke(error.reason)
+        self._update_reading()
+        return work
+
+    def abort(self) -> None:
+        self.transport.abort()
+
+    def _step(self) -> bool:
+        """Process one event; return False if more bytes are needed, or the exchange has ended."""
+        exchange = self.exchange
+        if exchange is None or not exchange.open or (event := self.side.next()) is None:
+            return False
+        if isinstance(event, ResponseHead):
+            exchange.status = event.status
+            exchange.on_head(event)
+        elif isinstance(event, BodyPart):
+            exchange.on_data(event.data)
+        elif isinstance(event, ResponseEnd):
+            self._done(exchange)
+            return False
+        return True
+
+    def _update_reading(self) -> None:
+        """Read only if the exchange takes more, and nothing that was read waits for its turn."""
+        if self._is_held or self.has_input():
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def _done(self, exchange: Exchange) -> None:
         self.exchange = None
@@ -138,7 +177,10 @@
 
     def eof_received(self) -> bool:
         if self.exchange:  # An answer without a length ends with its connection.
-            self._receive(self.exchange, b"")
+            # What came before the end has been processed: a connection with pending input is not read.
+            self.side.receive(b"")
+            self._is_input_pending = True
+            self.process_input(QUANTUM)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -163,10 +205,12 @@
         return self.transport.is_closing() or is_closed_by_peer(self.transport)
 
     def pause(self) -> None:
-        self.transport.pause_reading()
+        self._is_held = True
+        self._update_reading()
 
     def resume(self) -> None:
-        self.transport.resume_reading()
+        self._is_held = False
+        self._update_reading()
 
     def doubt(self, since: float) -> None:
         self.owner.doubt(since)
@@ -174,6 +218,7 @@
     def drop(self, reason: str) -> None:
         """Close the connection now."""
         self.exchange = None
+        self._inputs.remove(self)
         if not self.dead:
             self.dead = True
             self.owner.remove_connection(self)
--- a/tuliptrack/rpc/link.py
+++ b/tuliptrack/rpc/link.py
@@ -1,8 +1,8 @@
 """The I/O around `core.Core`: one connection on asyncio streams, with its reading task and its writes.
 
-Event handlers run synchronously in the reading task and must not block; what they send is written together at
-the end of the loop's iteration. While the socket accepts no more, calls queue their messages within the
-core's bounds, and control frames within its limits.
+Event handlers run synchronously and must not block; what they send is written together at the end of the loop's
+iteration. Many small frames are processed by turns, as described in `input_scheduler.py`. While the socket
+accepts no more, calls queue their messages within the core's bounds, and control frames within its limits.
 """
 
 from __future__ import annotations
@@ -15,6 +15,7 @@
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.core import Core
 from tuliptrack.rpc.events import Event
+from tuliptrack.rpc.input_scheduler import InputScheduler
 
 __all__ = ["Link"]
 
@@ -42,6 +43,15 @@
         self.reader, self.writer, self.core = reader, writer, core
         self.loop = asyncio.get_running_loop()
         self.heard_at = now_us()
+        """When something was last received, or what was received before was last processed, in monotonic
+        microseconds. A connection whose input waits for its turn is not read, and yet not silent."""
+        self.received_at = self.heard_at
+        """When the input that is being processed was read, in monotonic microseconds."""
+        self._inputs = InputScheduler.of(self.loop)
+        self._received = b""
+        """What was read last, until its first turn."""
+        self._is_processed = asyncio.Event()
+        """Whether the input that was read is processed, or the connection is closed."""
         self._scheduled = False
         self._blocked: asyncio.Task[None] | None = None
         self.closed = False
@@ -59,14 +69,11 @@
                 data = await self.reader.read(_READ_SIZE)
                 if not data:
                     break
-                self.heard_at = now_us()
-                _read_batch.links = {self: None}
-                try:
-                    self._act(self.core.receive(data, self.heard_at))
-                finally:
-                    links, _read_batch.links = _read_batch.links, None
-                    for link in links:
-                        link._flush()
+                self.received_at, self._received = now_us(), data
+                self._is_processed.clear()
+                self._inputs.process(self)
+                if self.has_input():
+                    await self._is_processed.wait()
         except OSError as error:
             reason = str(error) or type(error).__name__
         finally:
@@ -78,6 +85,27 @@
             with contextlib.suppress(OSError, asyncio.CancelledError):
                 await asyncio.wait_for(self.writer.wait_closed(), 1.0)
 
+    def has_input(self) -> bool:
+        return not self.closed and not self.core.dead and (bool(self._received) or self.core.has_input)
+
+    def process_input(self, quantum: int) -> int:
+        """Process frames, and write what they have caused to be sent."""
+        data, self._received = self._received, b""
+        self.heard_at = now_us()
+        _read_batch.links = {self: None}
+        try:
+            self._act(self.core.receive(data, self.received_at, quantum))
+        finally:
+            links, _read_batch.links = _read_batch.links, None
+            for link in links:
+                link._flush()
+        if not self.has_input():
+            self._is_processed.set()
+        return self.core.work_done
+
+    def abort(self) -> None:
+        self.close("the input can't be processed")
+
     def _act(self, events: list[Event]) -> None:
         for event in events:
             self.on_event(event)
@@ -119,6 +147,8 @@
         if self.closed:
             return
         self.closed = True
+        self._inputs.remove(self)
+        self._is_processed.set()
         with contextlib.suppress(OSError, RuntimeError):
             for over in (False, True):  # First writes the given answers, then ends the other calls.
                 if over:
--- a/tuliptrack/rpc/listener.py
+++ b/tuliptrack/rpc/listener.py
@@ -56,7 +56,7 @@
     connections.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, factory: Callable[[], asyncio.Protocol]) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, factory: Callable[[], asyncio.BaseProtocol]) -> None:
         self._loop, self._factory = loop, factory
         self._socket: socket.socket | None = None
         self._resume_timer: asyncio.TimerHandle | None = None
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -65,7 +65,8 @@
 
     def __init__(self, link: _ServerLink, start: CallStarted) -> None:
         self.link, self.stream, self.method, self.metadata = link, start.stream, start.method, start.metadata
-        self.deadline = None if start.timeout is None else now_us() + start.timeout
+        # The client counts its timeout from the sending of the call, which may have waited here for its turn.
+        self.deadline = None if start.timeout is None else link.received_at + start.timeout
         self.open = True
         self.traffic = link.core.traffic(start.stream)
         self.on_message: Callable[[bytes], None] = _noop
@@ -74,8 +75,8 @@
         self.on_writable: Callable[[], None] = _noop
         self._timer = (
             None
-            if start.timeout is None
-            else link.loop.call_later(start.timeout / 1e6, self._deadline_passed)
+            if self.deadline is None
+            else link.loop.call_later(max(self.deadline - now_us(), 0) / 1e6, self._deadline_passed)
         )
 
     @property
