--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -12,6 +12,7 @@
 from relay_harness import (
     SETTINGS,
     STREAM,
+    STREAM_HEAD,
     Peer,
     ReceivedRequest,
     UnreachableEngine,
@@ -347,3 +348,26 @@
                 assert len(p.received()) == (1 if late else 4), "as many attempts as the window has time for"
 
     run(go, virtual=True)
+
+
+# Guards against a whole answer that lacks an event, or is cut off, for a load report or another line ending.
+@pytest.mark.parametrize("size", [1, 64])
+def test_a_load_report_in_the_block_of_an_event_and_other_line_endings_cost_no_event(size: int) -> None:
+    report = b': X-Load-Report: {"inflight":3,"x0":0.75}\r\n'
+    events = STREAM.replace(b"\n", b"\r\n").replace(b"data: [DONE]", b"event: end\r\ndata: [DONE]")
+    sent = events.replace(b"event: end", report + b"event: end")
+
+    async def go() -> None:
+        async def decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            writer.write(STREAM_HEAD)
+            for start in range(0, len(sent), size):
+                writer.write(chunk(sent[start : start + size]))
+            writer.write(b"0\r\n\r\n")
+
+        async with platform(r0=answer_prefill, w0=decode) as p:
+            reply = await p.send_request()
+            assert (reply.status, reply.is_complete, reply.body) == (200, True, events)
+            endpoints = {endpoint.role: endpoint for endpoint in p.relay.router.endpoints.values()}
+            assert endpoints[Role.DECODE].reported_memory_share == 0.75
+
+    run(go, virtual=True)
