A stopping node takes no stream that it can't be sure to end, where none can be resumed

Cause: RelayNode.stop admitted requests until 1.1 s before the earliest SIGKILL and broke the streams of those that came over 0.6 s after SIGTERM 0.5 s before it, without asking whether clients can resume them. Streams taken before were cut off too, after a multiple of the longest deadline, which bounds the first token alone.

Change: relay/shutdown_schedule.py plans a shutdown. Without resumption, requests are rejected from 0.55 s after SIGTERM on (0.7 s are excused, a signal may be handled 0.15 s late), and what was taken goes on to its end, 10 minutes after the earliest kill at most. With resumption only the time from which requests must be answered before the kill changes: 0.55 s in place of 0.6 s. HttpServer.stop lets the application answer what is open when the grace period is over.

Why it works: what is taken is excused if SIGKILL finds it, or is whole before; a rejection is harmless, and none comes within the excused time.

Seen to fail before: tests/relay/test_shutdown.py, 2 of 5 (streams cut off; with a deadline of 0.5 s also those taken before SIGTERM); the other three hold what must not get worse.

--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -26,6 +26,7 @@
 from tuliptrack.relay.engine_pools import EnginePools
 from tuliptrack.relay.front import Front
 from tuliptrack.relay.settings_reload import SettingsReload
+from tuliptrack.relay.shutdown_schedule import ShutdownSchedule
 from tuliptrack.rpc.http1 import HttpLimits
 from tuliptrack.rpc.http1_client import ClientOptions
 from tuliptrack.rpc.http1_pool import ConnectionBudget
@@ -45,14 +46,6 @@
 TOKEN_SILENCE_US = 4_000_000
 """Longest silence of a stream before the node ends it. The platform allows that a client waits for up to 5 s
 on a stream that has stopped."""
-GRACE_AFTER_SIGTERM_S = 0.6
-"""Time after SIGTERM within which the platform excuses failures; requests that arrive later must be answered
-before SIGKILL."""
-MIGRATE_BEFORE_KILL_S = 1.1
-"""Time before the earliest SIGKILL at which streams are migrated and new requests begin to be rejected."""
-CONCLUDE_BEFORE_KILL_S = 0.5
-"""Time before the earliest SIGKILL at which the open requests that arrived more than `GRACE_AFTER_SIGTERM_S`
-after SIGTERM get their final answers."""
 RESERVED_DESCRIPTORS = 8 + ACCEPTED_AT_ONCE + MAX_CONNECTIONS
 """Number of descriptors that serve neither clients nor engines: log and standard streams (3), listener,
 selector and its wake-up (2), the settings file, one that an import may need; connections accepted but not
@@ -205,26 +198,27 @@
     async def stop(self, grace_s: float, kill_after_s: float) -> None:
         """Shut down gracefully; SIGKILL follows no sooner than after `kill_after_s`.
 
-        Until shortly before that, the node serves as usual: clients keep their connections, and during a
-        rolling restart there may be no other node yet. Then streams are migrated while their clients can find
-        another node, since the kill would break them. Requests that arrive from then on are rejected, and
+        `ShutdownSchedule` says until when the node serves as usual: clients keep their connections, and
+        during a rolling restart there may be no other node yet. Requests that arrive later are rejected, and
         each answer closes its connection. A connection without a request stays open until the kill is due,
         since a request may be on its way. `grace_s` bounds the time that the requests open after that may
-        take to end.
+        take to end; streams that cannot be resumed may take longer.
         """
-        started_at_us = self.now()
+        schedule = ShutdownSchedule.plan(self.settings.may_resume, kill_after_s, grace_s)
+        stopped_at_us = self.now()
         log.info("stopping", open=len(self.table.open))
         self._become_ready()
         self.front.is_ready = False
         server = self.front.server
-        await asyncio.sleep(max(kill_after_s - MIGRATE_BEFORE_KILL_S, 0.0))
+        server.on_grace_over = self.conclude_open_requests
+        await self._sleep_until(stopped_at_us, schedule.reject_after_s)
         self.stopping = server.last = True
         if self.settings.may_resume:
             self.migrate_streams()
-        await asyncio.sleep(min(kill_after_s, MIGRATE_BEFORE_KILL_S - CONCLUDE_BEFORE_KILL_S))
-        self.conclude_open_requests(started_at_us + int(GRACE_AFTER_SIGTERM_S * 1e6))
-        await asyncio.sleep(min(kill_after_s, CONCLUDE_BEFORE_KILL_S))
-        await server.stop(grace_s)
+            await self._sleep_until(stopped_at_us, schedule.conclude_after_s)
+            self.conclude_open_requests(stopped_at_us + int(schedule.excused_until_s * 1e6))
+        await self._sleep_until(stopped_at_us, schedule.close_after_s)
+        await server.stop(schedule.grace_s)
         self._settings_reload.close()
         await self.source.close()
         self.close()
@@ -236,6 +230,9 @@
         log.info("counters", **self.counter_values())
         log.info("stopped", **{state.value: count for state, count in self.table.end_counts.items()})
 
+    async def _sleep_until(self, started_at_us: int, after_s: float) -> None:
+        await asyncio.sleep(max(started_at_us / 1e6 + after_s - self.now() / 1e6, 0.0))
+
     def _apply_update(self, update: EndpointListUpdate) -> None:
         # The router is updated first, so that it sends nothing to an endpoint whose connections are closed.
         self.dispatch(update)
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -29,6 +29,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 from collections.abc import Callable
@@ -531,6 +532,9 @@
         self.last = self.stopping = False
         """`last`: whether each connection is closed after its next answer."""
         self.rejected_connections = self.evictions = 0
+        self.on_grace_over: Callable[[], None] = _noop
+        """Called by `stop` when the grace period is over, so that the application can answer open requests
+        itself."""
         self.loop: asyncio.AbstractEventLoop
         self._listener: Listener | None = None
         self._all_closed: asyncio.Event | None = None
@@ -622,19 +626,27 @@
             link.transport.abort()
 
     async def stop(self, grace: float = 0.0) -> None:
-        """Accept no new requests, let open ones run for `grace` seconds, then abort all connections."""
+        """Accept no new requests, let open ones run for `grace` seconds, then end them and all connections.
+
+        The answers that `on_grace_over` gives to open requests are still sent before their connections are
+        aborted.
+        """
         self.stopping = self.last = True
         if self._listener:
             await self._listener.close()
         self.close_idle_connections()
-        assert self._all_closed
-        if self.links and grace > 0:
-            self._all_closed.clear()
-            try:
-                await asyncio.wait_for(self._all_closed.wait(), grace)
-            except TimeoutError:
-                pass
-        self.abort_connections()
+        await self._wait_until_closed(grace)
         if self.links:
-            self._all_closed.clear()
-            await self._all_closed.wait()
+            self.on_grace_over()
+        await self._wait_until_closed(_LINGER_S if self._lingering else 0.0)
+        self.abort_connections()
+        await self._wait_until_closed(None)
+
+    async def _wait_until_closed(self, seconds: float | None) -> None:
+        """Wait until no connection is left, but not longer than `seconds`; None: without a limit."""
+        assert self._all_closed
+        if not self.links or seconds == 0:
+            return
+        self._all_closed.clear()
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self._all_closed.wait(), seconds)
