KServe REST requests keep their grace period at shutdown and get their final answers

Callers would see: a REST request that is open at SIGTERM fails at once (503) where no gRPC client is connected; and where the REST server's grace period ends before that of the gRPC server, it is closed with no answer.

Cause: the gRPC server ended its grace period at once if it had no connection, and then ended the requests of all fronts. The REST server aborted its connections without giving anybody the chance to answer their requests.

Change: the gRPC server ends requests only if it has open calls itself; the REST server calls on_grace_over before it aborts, and sends what that answers. A second signal ends the grace period of all fronts, where it ended the gRPC server's alone.

Seen to fail before: the three tests of tests/fronts/test_kserve.py with "grace" in their names (503 in place of 200; no answer; the third for the missing method).

--- a/tests/fronts/test_kserve.py
+++ b/tests/fronts/test_kserve.py
@@ -457,6 +457,58 @@
     run(go, virtual=True)
 
 
+SLOW_ENGINE = "read_per_s: 20"
+
+
+# Guards against REST requests that a stopping node fails at once, as no gRPC client has a call open.
+def test_a_rest_request_has_the_whole_grace_period_to_end() -> None:
+    async def go() -> None:
+        async with world("m0", model=SLOW_ENGINE, settings=KSERVE) as w, rest(w) as client:
+            client.generate("a prompt that takes an engine some time to read")
+            await until(lambda: any(one.attempt for one in w.node.table.open.values()))
+            stopping = asyncio.ensure_future(w.node.stop(10))
+            assert (await client.answer())[0] == 200
+            await stopping
+
+    run(go, virtual=True)
+
+
+# Guards against a request that a stopping node closes with no answer when its grace period is over.
+def test_a_rest_request_that_is_open_when_the_grace_period_ends_gets_its_answer() -> None:
+    async def go() -> None:
+        async with world("m0", model=SLOW_ENGINE, settings=KSERVE) as w, rest(w) as client:
+            client.generate("a prompt that takes an engine some time to read")
+            call = w.ask()
+            await until(lambda: sum(bool(one.attempt) for one in w.node.table.open.values()) == 2)
+            stop_server = w.node.server.stop
+
+            async def stop_later(grace: float) -> None:
+                await stop_server(grace + 0.1)
+
+            w.node.server.stop = stop_later  # type: ignore[method-assign, assignment]
+            stopping = asyncio.ensure_future(w.node.stop(0.2))
+            status, body = await client.answer()
+            assert status in (502, 503) and "shut down" in body["error"]
+            await call.wait()
+            await stopping
+
+    run(go, virtual=True)
+
+
+def test_the_end_of_the_grace_period_ends_requests_of_all_fronts() -> None:
+    async def go() -> None:
+        async with world("m0", model=SLOW_ENGINE, settings=KSERVE) as w, rest(w) as client:
+            client.generate("a prompt that takes an engine some time to read")
+            await until(lambda: any(one.attempt for one in w.node.table.open.values()))
+            stopping = asyncio.ensure_future(w.node.stop(10))
+            await asyncio.sleep(0.1)
+            w.node.end_grace_period()
+            assert (await client.answer())[0] in (502, 503)
+            await stopping
+
+    run(go, virtual=True)
+
+
 def test_rest_clients_that_are_slow_send_too_much_or_dont_read_affect_no_others() -> None:
     async def go() -> None:
         limits = "limits { message_bytes: 20000 answer_bytes: 4096 client_stall_ms: 400 body_bytes: 30000 }"
--- a/tuliptrack/cli/serve.py
+++ b/tuliptrack/cli/serve.py
@@ -56,7 +56,7 @@
     second_signal = loop.create_task(stop.wait())
     await asyncio.wait({stopping, second_signal}, return_when=asyncio.FIRST_COMPLETED)
     if not stopping.done():
-        node.server.end_grace_period()
+        node.end_grace_period()
     second_signal.cancel()
     await stopping
     signals.block()
--- a/tuliptrack/fronts/installed.py
+++ b/tuliptrack/fronts/installed.py
@@ -29,8 +29,11 @@
     async def listen(self) -> str:
         """Start to serve; returns host:port."""
 
-    async def stop(self, grace: float) -> None:
-        """Accept nothing new, and end what is still open after `grace` seconds."""
+    async def stop(self, grace: float, on_grace_over: Callable[[], None]) -> None:
+        """Accept nothing new, and end what is still open after `grace` seconds.
+
+        `on_grace_over` is called before, to give open requests their final answers, which are still sent.
+        """
 
 
 FRONTS: tuple[Callable[[Server, Core, NodeConfig], None], ...] = (generation.install, kserve_grpc.install)
--- a/tuliptrack/fronts/kserve/rest.py
+++ b/tuliptrack/fronts/kserve/rest.py
@@ -194,8 +194,9 @@
         host, _, port = self.config.kserve.rest_listen.rpartition(":")
         return await self.server.listen(host, int(port))
 
-    async def stop(self, grace: float) -> None:
-        """Accept nothing new, and end what is still open after `grace` seconds."""
+    async def stop(self, grace: float, on_grace_over: Callable[[], None]) -> None:
+        """Accept nothing new, and end what is still open after `grace` seconds; see `installed.Listener`."""
+        self.server.on_grace_over = on_grace_over
         await self.server.stop(grace)
 
     def reject_early(self, call: HttpCall) -> Rejection | None:
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -170,7 +170,7 @@
         grace_s = self.config.shutdown_grace / 1e6 if grace is None else grace
         self.server.on_grace_over = self.conclude_open_requests
         self.stopping = True
-        listeners = (listener.stop(grace_s) for listener in self.listeners)
+        listeners = (listener.stop(grace_s, self.conclude_open_requests) for listener in self.listeners)
         await asyncio.gather(self.server.stop(grace_s), *listeners)
         await self.source.close()
         self.close()
@@ -186,6 +186,11 @@
         await self.billing.close()
         log.info("stopped", **{state.value: count for state, count in self.table.end_counts.items()})
 
+    def end_grace_period(self) -> None:
+        """End the grace period of a running `stop`, for the requests of all fronts."""
+        self.server.end_grace_period()
+        self.conclude_open_requests()
+
     async def _sweep(self) -> None:
         """Run the periodic checks that need no timer of their own, until cancelled."""
         await run_periodically("sweep", SWEEP_INTERVAL_S, self._sweep_once, self.record_fault)
--- a/tuliptrack/rpc/server.py
+++ b/tuliptrack/rpc/server.py
@@ -262,7 +262,7 @@
         self._grace_cut = asyncio.Event()
         self.address = ""
         self.on_grace_over: Callable[[], None] = _noop
-        """Called by `stop` when the grace period is over, so that the application can end open calls
+        """Called by `stop` if calls are open when the grace period is over, so that the application can end them
         itself."""
         self.gate: Callable[[asyncio.StreamWriter], Awaitable[bool]] | None = None
         """If set, awaited for each new connection; False rejects it."""
@@ -332,7 +332,8 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
             cut.cancel()
-        self.on_grace_over()
+        if self.open_calls():  # Without them, nothing ends here; other fronts may have requests that go on.
+            self.on_grace_over()
         for link in list(self.links):
             for call in list(link.calls.values()):
                 call.end(Status(Code.UNAVAILABLE, "this server has shut down"))
