Count header fields and bytes as work on input, beside parts

The limit on parts alone let one iteration of the loop read 42,056 fields of 30 connections, or 983,040 bytes of answers.

Change: header fields, bytes of JSON bodies and bytes of answers add units of work.

Seen to fail before: the two new tests of tests/rpc/test_small_parts.py, with the figures above.

--- a/tests/rpc/test_small_parts.py
+++ b/tests/rpc/test_small_parts.py
@@ -17,6 +17,7 @@
 import pytest
 from world import run, until
 
+from tuliptrack.rpc import h1
 from tuliptrack.rpc.channel import Channel, End, Options
 from tuliptrack.rpc.core import Core
 from tuliptrack.rpc.h1 import ClientSide, RequestBody, ServerSide
@@ -37,14 +38,18 @@
 class Work:
     """Counts how many parts are processed in one iteration of the loop, and the highest count so far."""
 
-    def __init__(self, patch: pytest.MonkeyPatch, owner: type, method: str) -> None:
+    def __init__(
+        self, patch: pytest.MonkeyPatch, owner: Any, method: str, size: Callable[[Any], int] = lambda _: 1
+    ) -> None:
+        """Count each call of a method by the size of what it returns; by default as one."""
         self.highest = self.total = self._count = 0
         original: Callable[..., Any] = getattr(owner, method)
 
         def counted(*arguments: Any) -> Any:
-            self._count += 1
-            self.total += 1
-            return original(*arguments)
+            result = original(*arguments)
+            self._count += size(result)
+            self.total += size(result)
+            return result
 
         patch.setattr(owner, method, counted)
 
@@ -142,6 +147,66 @@
     run(go, 60)
 
 
+# Guards against large heads that delay all connections, each of them a single part.
+def test_header_fields_and_bytes_of_json_count_as_work_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    heads, fields, body_bytes = 4, 1_500, 100_000
+    head = b"POST /large HTTP/1.1\r\nhost: x\r\n" + b"a:b\r\n" * fields + b"content-length: %d\r\n\r\n"
+
+    async def go() -> None:
+        server = HttpServer(answer_length, lambda call: None, HttpLimits(body_bytes=262_144))
+        await server.listen()
+        read_fields = Work(monkeypatch, h1, "_fields", len)
+        handled: list[int] = []
+        body_work = Work(monkeypatch, ServerSide, "next", lambda event: len(getattr(event, "data", b"")))
+        server.handle = lambda call: (handled.append(len(call.body)), answer_length(call))  # type: ignore[func-returns-value, assignment]
+        clients = [await connect(server.address) for _ in range(CONNECTIONS)]
+        async with read_fields.watched(), body_work.watched():
+            for _, writer in clients:
+                writer.write(head % 0 * heads + head % body_bytes + b"x" * body_bytes)
+            await until(lambda: len(handled) == CONNECTIONS * (heads + 1), 50)
+        assert (
+            read_fields.highest <= 8 * MAX_PARTS_PER_ITERATION + fields
+        )  # The last step may exceed the limit.
+        assert body_work.highest <= 4_096 * MAX_PARTS_PER_ITERATION
+        for _, writer in clients:
+            writer.close()
+        await server.stop()
+
+    run(go, 60)
+
+
+# Guards against streams of tiny events in large chunks that delay all other connections.
+def test_bytes_of_answers_count_as_work_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    answer_bytes = 100_000
+
+    async def go() -> None:
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % answer_bytes + b"x" * answer_bytes
+            )
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        pool = Pool(f"{host}:{port}", ClientOptions(), ConnectionBudget(CONNECTIONS))
+        work = Work(monkeypatch, ClientSide, "next", lambda event: len(getattr(event, "data", b"")))
+        ends: list[ExchangeOutcome] = []
+        async with work.watched():
+            for _ in range(CONNECTIONS):
+                exchange = Exchange("GET", "/", [("host", "x")])
+                exchange.on_end = lambda how, _: ends.append(how)
+                pool.send(exchange)
+            await until(lambda: len(ends) == CONNECTIONS, 50)
+        assert ends == [ExchangeOutcome.ANSWER] * CONNECTIONS and work.total == CONNECTIONS * answer_bytes
+        assert work.highest <= 256 * MAX_PARTS_PER_ITERATION
+        await pool.close()
+        server.close()
+
+    run(go, 60)
+
+
 class FrameClient:
     """A gRPC client that writes frames as it likes, on an h2 connection of its own."""
 
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -43,7 +43,14 @@
 from tuliptrack.rpc.arrival_times import ArrivalTimes
 from tuliptrack.rpc.clock import now_us
 from tuliptrack.rpc.h1 import BodyPart, Fields, ProtocolError, RequestBody, RequestHead, ServerSide
-from tuliptrack.rpc.input_scheduler import QUANTUM, READ_BYTES, REQUEST_WORK, InputScheduler
+from tuliptrack.rpc.input_scheduler import (
+    FIELDS_PER_UNIT,
+    JSON_BYTES_PER_UNIT,
+    QUANTUM,
+    READ_BYTES,
+    REQUEST_WORK,
+    InputScheduler,
+)
 from tuliptrack.rpc.listener import Listener
 from tuliptrack.rpc.tcp import has_unread, is_closed_by_peer, set_nodelay
 
@@ -325,6 +332,7 @@
         return True
 
     def _head(self, head: RequestHead) -> bool:
+        self._work_done += len(head.fields) // FIELDS_PER_UNIT
         call = HttpCall(self, head.method, head.target, head.fields)
         rejection = self.server.reject_early(call)
         if rejection is None and head.content_length and not self._reserve_body(head.content_length):
@@ -339,7 +347,7 @@
 
     def _handle_request(self, call: HttpCall) -> None:
         self.call, self.served = call, True
-        self._work_done += REQUEST_WORK
+        self._work_done += REQUEST_WORK + len(call.body) // JSON_BYTES_PER_UNIT
         call.received_at_us = self._arrivals.of_processed(self.side.buffered_bytes, now_us())
         self.server.mark_busy(self)
         if self._timer:
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -13,7 +13,7 @@
 
 from tuliptrack.rpc.h1 import BodyPart, ClientSide, ProtocolError, ResponseEnd, ResponseHead
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
-from tuliptrack.rpc.input_scheduler import QUANTUM, InputScheduler
+from tuliptrack.rpc.input_scheduler import EVENT_BYTES_PER_UNIT, FIELDS_PER_UNIT, QUANTUM, InputScheduler
 from tuliptrack.rpc.tcp import is_closed_by_peer, is_established, set_nodelay
 
 __all__ = ["ClientConnection", "ClientOptions", "Owner"]
@@ -75,6 +75,8 @@
         self._inputs = InputScheduler.of(owner.loop)
         self._is_input_pending = False
         """Whether received bytes may hold an event that was not processed yet."""
+        self._work_done = 0
+        """Work done on input in this turn."""
         self._is_held = False
         """Whether the exchange asks to read nothing."""
 
@@ -130,17 +132,17 @@
 
     def process_input(self, quantum: int) -> int:
         """Pass parts of the answer to the exchange, in order."""
-        work = 0
+        self._work_done = 0
         try:
-            while self.has_input() and work < quantum:
-                work += 1
+            while self.has_input() and self._work_done < quantum:
+                self._work_done += 1
                 self._is_input_pending = self._step()
         except ProtocolError as error:
             if self.exchange:
                 self.exchange.is_malformed = True
             self._broke(error.reason)
         self._update_reading()
-        return work
+        return self._work_done
 
     def abort(self) -> None:
         self.transport.abort()
@@ -152,8 +154,10 @@
             return False
         if isinstance(event, ResponseHead):
             exchange.status = event.status
+            self._work_done += len(event.fields) // FIELDS_PER_UNIT
             exchange.on_head(event)
         elif isinstance(event, BodyPart):
+            self._work_done += len(event.data) // EVENT_BYTES_PER_UNIT
             exchange.on_data(event.data)
         elif isinstance(event, ResponseEnd):
             self._done(exchange)
--- a/tuliptrack/rpc/input_scheduler.py
+++ b/tuliptrack/rpc/input_scheduler.py
@@ -10,8 +10,8 @@
 processed before them, so a connection with little input does not wait for those with much, and up to half of
 each iteration is reserved for it. A connection that waits must not be read from, so its buffer stays bounded.
 
-Work is counted, not measured: a part of a message (head, chunk, frame) is one unit, and whatever it causes is
-added by the connection, such as `REQUEST_WORK` for a request.
+Work is counted, not measured: a part of a message (head, chunk, frame) is one unit, and what it causes is
+added by the connection: `REQUEST_WORK` for a request, and some for the size of what is parsed further.
 """
 
 from __future__ import annotations
@@ -23,7 +23,17 @@
 
 from tuliptrack.rpc.clock import now_us
 
-__all__ = ["QUANTUM", "READ_BYTES", "REQUEST_WORK", "WORK_PER_ITERATION", "InputScheduler", "Receiver"]
+__all__ = [
+    "EVENT_BYTES_PER_UNIT",
+    "FIELDS_PER_UNIT",
+    "JSON_BYTES_PER_UNIT",
+    "QUANTUM",
+    "READ_BYTES",
+    "REQUEST_WORK",
+    "WORK_PER_ITERATION",
+    "InputScheduler",
+    "Receiver",
+]
 
 WORK_PER_ITERATION = 256
 """Units of work that one iteration of the loop may begin: a few milliseconds."""
@@ -32,6 +42,12 @@
 REQUEST_WORK = 8
 """Units of work that a request costs beside those of its parts: a quantum holds four requests."""
 
+FIELDS_PER_UNIT = 8
+"""Header fields that cost one more unit of work."""
+JSON_BYTES_PER_UNIT = 4_096
+"""Bytes of a request's body that cost one more unit of work."""
+EVENT_BYTES_PER_UNIT = 256
+"""Bytes of an answer that cost one more unit of work: they may hold an event every few bytes."""
 READ_BYTES = 32_768
 """Size of one read from a socket, and so of the input that a waiting connection buffers."""
 
