Split rpc/http1.py: requests, connections and the server in a module each

The file had grown to 660 lines with three classes that referred to each other. Now http1_call.py has HttpCall, HttpLimits and Rejection, http1_connection.py has ServerConnection (was _HttpLink), http1.py has HttpServer. What a call needs of its connection, and a connection of its server, are protocols.

--- a/tests/rpc/test_http1.py
+++ b/tests/rpc/test_http1.py
@@ -16,7 +16,7 @@
 from world import run, until
 
 from tuliptrack.decisions.concurrency_limit import ByteBudget
-from tuliptrack.rpc import http1
+from tuliptrack.rpc import http1_connection
 from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Rejection
 from tuliptrack.rpc.http1_client import ClientOptions
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
@@ -243,7 +243,7 @@
 def test_a_request_that_arrives_while_its_connection_is_closed_is_not_processed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(http1, "_LINGER_S", 0.3)
+    monkeypatch.setattr(http1_connection, "LINGER_S", 0.3)
     handled: list[str] = []
 
     def handle(call: HttpCall) -> None:
