--- a/tests/relay/test_shutdown.py
+++ b/tests/relay/test_shutdown.py
@@ -23,6 +23,8 @@
 )
 from world import run
 
+from tuliptrack.relay import shutdown_schedule
+
 KILL_AFTER_S = 3.7
 EXCUSED_S = 0.7
 """Time after SIGTERM up to which the platform excuses that SIGKILL finds a request unanswered."""
@@ -119,7 +121,9 @@
     run(go, virtual=True)
 
 
-def test_a_stream_that_never_ends_does_not_keep_the_node_forever() -> None:
+def test_a_stream_that_never_ends_does_not_keep_the_node_forever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(shutdown_schedule, "MAX_STREAM_S", 2 * GRACE_S)
+
     async def go() -> None:
         async def endless_decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
             writer.write(STREAM_HEAD)
@@ -128,8 +132,11 @@
                 await asyncio.sleep(2.0)
 
         async with platform(settings(False), r0=answer_prefill, w0=endless_decode) as p:
-            reply = (await Clients(p).send([-0.5], KILL_AFTER_S, GRACE_S))[-0.5]
+            clients = Clients(p)
+            reply = (await clients.send([-0.5], KILL_AFTER_S, GRACE_S))[-0.5]
             assert (reply.status, reply.is_complete) == (200, False)
+            assert clients.ended_at[-0.5] >= KILL_AFTER_S + 2 * GRACE_S
+            assert clients.node_ended_at < KILL_AFTER_S + 2 * GRACE_S + 2.0
 
     run(go, 2_000, virtual=True)
 
