--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -621,12 +621,16 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def go() -> int:
+        task = asyncio.current_task()
+        assert task
+        for number in (signal.SIGTERM, signal.SIGINT):  # The nodes are ended then as well.
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             world = World(temporary, case_settings)
             try:
                 await asyncio.wait_for(case(world, trouble), 110)
                 code = BROKEN if world.breaks else HELD
-            except (CannotRunError, TimeoutError, OSError) as error:
+            except (CannotRunError, TimeoutError, OSError, asyncio.CancelledError) as error:
                 world.note(f"not run: {error!r}")
                 code = NOT_RUN
             finally:
