--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import sys
@@ -99,4 +100,4 @@
 case_settings["limits"]["cancel"] = False
 for request_class in case_settings["classes"]:
     request_class["effect"] = "single_shot"
-run_case(case, case_settings)
+run_case(case, case_settings, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import sys
 import time
 from pathlib import Path
@@ -92,4 +93,8 @@
         world.broken(f"the node held {largest:.0f} MB; over {MEMORY_MB} MB it is killed")
 
 
-run_case(case, settings(projects=[{"name": "north", "quotaPerS": 600.0, "share": 1.0}]))
+run_case(
+    case,
+    settings(projects=[{"name": "north", "quotaPerS": 600.0, "share": 1.0}]),
+    trouble=os.environ.get("TROUBLE", "1") != "0",
+)
--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -615,10 +615,11 @@
     return base
 
 
-def run_case(case: Callable[[World, bool], Awaitable[None]], case_settings: dict[str, Any]) -> None:
-    """Run a case, write its record and exit with its result."""
+def run_case(
+    case: Callable[[World, bool], Awaitable[None]], case_settings: dict[str, Any], trouble: bool
+) -> None:
+    """Run a case, with its disruption or without it, write its record and exit with its result."""
     folder = Path(sys.argv[0]).resolve().parent
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def go() -> int:
         task = asyncio.current_task()
