A request that is rejected at a shutdown does not run later: unsent attempts are cancelled

Cause: FinalAnswers.conclude_at_shutdown rejects a request whose attempt is not written in full, since it has not run, and leaves the attempt to the router, which may not cancel it where limits.cancel is false. The rest was written when the engine read on. Core.client_disconnected cancelled such attempts itself.

Change: FinalAnswers.end_request gives up the attempt for both: the model of the engines in test_core_orders.py has engines that hang in mid-request, and the core without end_request's cancellation breaks a rule there.

Why it works: an engine begins a request with its last byte; a cancelled attempt's connection is aborted, which drops what was not written.

--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -9,7 +9,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -85,6 +86,8 @@
     engines: Engines
     record: RequestRecord
     attempt: Attempt
+    is_begun: bool = False
+    """Whether a part of the attempt was written."""
     sent_at_us: int = 0
     """The time at which the last byte of the attempt was written; 0 if it was not written."""
     has_arrived: bool = False
@@ -135,6 +138,8 @@
     effect: io.Idempotency
     deadline_us: int
     left_at_us: int = 0
+    is_leave_reported: bool = False
+    """Whether the core was told that the client has disconnected."""
     reserved_since_us: int = 0
     """The time since which a KV state is reserved and no attempt waits for the state; 0 if none is reserved
     or an attempt waits."""
@@ -201,12 +206,17 @@
         return call
 
     def time_out_connection(self, call: Call) -> None:
-        if not call.sent_at_us:
+        if not call.is_begun:
             call.end(AttemptResult(io.Status.CONNECT_FAILED, "connect", is_connection_only=True))
 
     def send(self, call: Call, has_arrived: bool) -> None:
-        """Write the attempt now that its connection is up, unless the core no longer wants it."""
-        if call.is_over or call.sent_at_us:
+        """Write the whole attempt now that its connection is up, unless the core no longer wants it."""
+        self.begin(call)
+        self.finish(call, has_arrived)
+
+    def begin(self, call: Call) -> None:
+        """Write a part of the attempt now that its connection is up, unless the core no longer wants it."""
+        if call.is_over or call.is_begun:
             return
         if not self.core.may_still_begin(call.record, call.attempt.endpoint_id):
             call.end(AttemptResult(io.Status.CONNECT_FAILED, "not wanted", is_connection_only=True))
@@ -215,12 +225,25 @@
         assert not observed.left_at_us, "sent for a client that has disconnected"
         assert not observed.answer.ends, "rule 1: sent after the end"
         assert call.attempt.endpoint_id not in self.draining_since_us, "rule 3: sent to a draining endpoint"
+        self.check_repeat(observed)
+        call.is_begun = True
+
+    def check_repeat(self, observed: ObservedRequest) -> None:
+        """Check that an attempt that is written now repeats no effect."""
         if observed.executed_at_us and observed.effect is not io.Idempotency.IDEMPOTENT:
             assert observed.effect is io.Idempotency.WITH_KEY, (
                 "rule 2: sent again though it may have executed"
             )
             window = self.core.settings.classes[0].deduplication_window_us
             assert self.now - observed.executed_at_us <= window + 1_000, "rule 2: sent again after its window"
+
+    def finish(self, call: Call, has_arrived: bool) -> None:
+        """Write the last byte of the attempt, as its engine reads on: from then on it runs."""
+        if call.is_over or call.sent_at_us or not call.is_begun:
+            return
+        observed = self.observed[call.record.id]
+        assert not observed.is_leave_reported, "finished for a client that has disconnected"
+        assert not observed.answer.ends, f"rule 2: runs after its request was {observed.answer.ends}"
         call.sent_at_us, call.has_arrived = self.now, has_arrived
         if has_arrived:
             observed.reserved_since_us = 0
@@ -342,6 +365,8 @@
     def calls_in_flight(self, **wanted: bool) -> list[Call]:
         """Return the attempts in flight with these properties."""
         calls = [call for call in self.engines.calls if not call.is_over]
+        if "is_begun" in wanted:
+            calls = [call for call in calls if call.is_begun is wanted["is_begun"]]
         if "is_sent" in wanted:
             calls = [call for call in calls if bool(call.sent_at_us) is wanted["is_sent"]]
         if "has_arrived" in wanted:
@@ -430,7 +455,11 @@
         request = self.pick(number, self.awaited_requests())
         self.engines.observed[request].left_at_us = self.core.now()
         if not unread:
-            self.run_on_loop(self.handles[request].disconnected, "left")
+            self.report_leave(request, "left")
+
+    def report_leave(self, request: int, reason: str) -> None:
+        self.engines.observed[request].is_leave_reported = True
+        self.run_on_loop(self.handles[request].disconnected, reason)
 
     @precondition(lambda self: self.engines.observed)
     @rule(number=st.integers(0, 9))
@@ -439,7 +468,7 @@
         request = self.pick(number, list(self.engines.observed))
         observed = self.engines.observed[request]
         if observed.left_at_us:
-            self.run_on_loop(self.handles[request].disconnected, "left once more")
+            self.report_leave(request, "left once more")
         for call in self.engines.calls:
             if call.is_over and call.record.id == request:
                 self.run_on_loop(call.cancel, io.Status.CANCELLED)
@@ -459,6 +488,18 @@
             self.engines.send, self.pick(number, self.calls_in_flight(is_sent=False)), has_arrived
         )
 
+    @precondition(lambda self: self.calls_in_flight(is_begun=False))
+    @rule(number=st.integers(0, 9))
+    def engine_hangs_in_mid_request(self, number: int) -> None:
+        """A connection comes up, and its engine stops reading before it has the whole request."""
+        self.run_on_loop(self.engines.begin, self.pick(number, self.calls_in_flight(is_begun=False)))
+
+    @precondition(lambda self: self.calls_in_flight(is_begun=True, is_sent=False))
+    @rule(number=st.integers(0, 9), has_arrived=st.sampled_from([True, True, False]))
+    def engine_reads_on(self, number: int, has_arrived: bool) -> None:
+        call = self.pick(number, self.calls_in_flight(is_begun=True, is_sent=False))
+        self.run_on_loop(self.engines.finish, call, has_arrived)
+
     @precondition(lambda self: self.calls_in_flight(is_sent=False))
     @rule(number=st.integers(0, 9))
     def connection_comes_up_late(self, number: int) -> None:
@@ -647,6 +688,14 @@
     core.class_of = lambda record: replace(class_of(record), idempotency=io.Idempotency.IDEMPOTENT)  # type: ignore[method-assign]
 
 
+def without_cancellation_of_unsent_attempts(core: Core) -> None:
+    def notify_router_only(record: RequestRecord, was_streaming: bool = False) -> None:
+        core.dispatch(io.ClientDisconnected(record.id))
+        core.remove_if_finished(record)
+
+    core.answers.end_request = notify_router_only  # type: ignore[method-assign]
+
+
 def without_release_of_broken_prefills(core: Core) -> None:
     release = core.engines.release
 
@@ -677,6 +726,7 @@
         with_write_as_arrival,
         without_check_on_connection,
         without_deduplication_window,
+        without_cancellation_of_unsent_attempts,
         without_release_of_broken_prefills,
         without_disconnections,
     ],
@@ -691,6 +741,29 @@
         run_state_machine_as_test(Unguarded, settings=thorough)
 
 
+@contextlib.contextmanager
+def started_machine(effect: io.Idempotency) -> Iterator[CoreMachine]:
+    """Return a machine whose settings forbid cancelling, and check it at the end."""
+    machine = CoreMachine()
+    machine.start(effect, may_cancel=False, connect_timeout=700_000)
+    try:
+        yield machine
+    finally:
+        machine.teardown()
+
+
+# Guards against a request that is rejected as the node stops, and runs once its engine reads on.
+def test_a_half_written_attempt_is_cancelled_as_its_request_is_rejected_at_shutdown() -> None:
+    with started_machine(io.Idempotency.NOT_IDEMPOTENT) as machine:
+        machine.submit_request(4_000_000, 1)
+        machine.engine_hangs_in_mid_request(0)
+        machine.node_shuts_down(1)
+        assert machine.engines.observed[1].answer.ends == ["rejected"]
+        for call in machine.engines.calls:
+            machine.run_on_loop(machine.engines.finish, call, True)
+        assert not any(call.sent_at_us for call in machine.engines.calls)
+
+
 def test_release_is_repeated_when_the_attempt_that_kept_the_state_reserved_ends() -> None:
     """A client disconnects while a decode attempt waits for the KV state of its request. The release that
     follows does not free the state, because an attempt waits for it. Unless the core sends another release
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,8 @@
     STREAM,
     STREAM_HEAD,
     TOKEN_EVENTS,
+    HangingReceiver,
+    Platform,
     ReceivedRequest,
     answer_decode,
     answer_prefill,
@@ -58,6 +61,88 @@
     run(go, virtual=True)
 
 
+def without_cancel(**changes: Any) -> dict[str, Any]:
+    """Return settings that forbid cancelling, with one class that may not be repeated."""
+    settings = one_class(effect="single_shot", **changes)
+    settings["settings"]["limits"] = {**SETTINGS["limits"], "cancel": False}
+    return settings
+
+
+def shut_down(p: Platform, writer: asyncio.StreamWriter) -> None:
+    p.relay.conclude_open_requests()
+
+
+def wait_for_the_deadline(p: Platform, writer: asyncio.StreamWriter) -> None:
+    """Do nothing: the budget of the request ends by itself."""
+
+
+def leave(p: Platform, writer: asyncio.StreamWriter) -> None:
+    writer.close()
+
+
+def remove_the_engine(p: Platform, writer: asyncio.StreamWriter) -> None:
+    p.publish(m0="Gone")
+
+
+# Guards against requests that have ended and run all the same, once the engine that hung in mid-request reads on.
+@pytest.mark.parametrize(
+    ("end", "budget", "status"),
+    [
+        (shut_down, "9", 503),
+        (wait_for_the_deadline, "1.5", 504),
+        (leave, "9", 0),
+        (remove_the_engine, "1.5", 504),
+    ],
+)
+def test_the_rest_of_a_half_written_request_is_not_sent_after_its_end(
+    end: Callable[[Platform, asyncio.StreamWriter], None], budget: str, status: int
+) -> None:
+    async def go() -> None:
+        engine = HangingReceiver(answer_decode)
+        async with platform(without_cancel(), m0=engine) as p:
+            reader, writer = await p.connect()
+            body = b'{"text":"%b"}' % (b"x" * engine.LARGE_BODY_BYTES)
+            writer.write(request("half", body, budget))
+            await until(lambda: engine.hanging == 1)
+            end(p, writer)
+            if status:
+                assert (await asyncio.wait_for(read_reply(reader), 5.0)).status == status
+            await until(lambda: not p.relay.front.open_requests)
+            engine.may_read.set()
+            await until(lambda: not engine.open_connections)
+            assert not engine.received()
+            writer.close()
+
+    run(go)
+
+
+# Guards against a prefill that is answered after its request has failed at a shutdown, and leaves its state reserved.
+def test_the_state_of_a_prefill_that_outlives_its_request_is_released() -> None:
+    async def go() -> None:
+        may_end = asyncio.Event()
+
+        async def slow_prefill(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if received.method == "POST":
+                await may_end.wait()
+            await answer_prefill(received, writer)
+
+        async with platform(without_cancel(), r0=slow_prefill, w0=answer_decode) as p:
+            reader, writer = await p.connect()
+            writer.write(request("outlived"))
+            await until(lambda: bool(p.received()))
+            p.relay.conclude_open_requests()
+            assert (await asyncio.wait_for(read_reply(reader), 5.0)).status == 502
+            may_end.set()
+            await until(lambda: not p.relay.table.open)
+            await until(
+                lambda: any(one.target == "/bootstrap/rooms/outlived" for one in p.received("DELETE"))
+            )
+            assert len(p.received()) == 1
+            writer.close()
+
+    run(go, virtual=True)
+
+
 def test_a_request_whose_last_byte_comes_with_its_clients_fin_reaches_no_engine() -> None:
     async def go() -> None:
         async with platform(r0=answer_prefill, w0=answer_decode) as p:
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -124,6 +124,7 @@
                 fields = dict(
                     (k.lower(), v.strip()) for k, _, v in (x.partition(":") for x in lines[1:] if x)
                 )
+                await self.before_body(int(fields.get("content-length", 0)), writer)
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 received = ReceivedRequest(method, target, fields, body)
                 self.all_received.append(received)
@@ -146,6 +147,9 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def before_body(self, size: int, writer: asyncio.StreamWriter) -> None:
+        """Called before each body, of `size` bytes, is read."""
+
     @property
     def port(self) -> int:
         return int(self.address.rpartition(":")[2])
@@ -179,6 +183,41 @@
     patch.setattr(loop, "create_connection", connect_late)
 
 
+class HangingReceiver(Peer):
+    """An engine that reads the head of a large request, and the rest once `may_read` is set.
+
+    Its connections have the segments of a network and a small window, so that most of a large body waits at
+    the node.
+    """
+
+    LARGE_BODY_BYTES = 200_000
+    _SEGMENT_BYTES = 1_448
+    _WINDOW_BYTES = 4_096
+
+    def __init__(self, script: Script, early_answer: bytes = b"") -> None:
+        """Hang before bodies; `early_answer` is the answer to a request whose body was not read."""
+        super().__init__(script)
+        self.early_answer = early_answer
+        self.may_read = asyncio.Event()
+        self.hanging = 0
+        """Requests whose body waits to be read."""
+
+    async def start(self) -> Peer:
+        listener = socket.socket()
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, self._SEGMENT_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self._WINDOW_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._serve, sock=listener, limit=self._WINDOW_BYTES)
+        self.address = "{}:{}".format(*listener.getsockname())
+        return self
+
+    async def before_body(self, size: int, writer: asyncio.StreamWriter) -> None:
+        if size >= self.LARGE_BODY_BYTES:
+            self.hanging += 1
+            writer.write(self.early_answer)
+            await self.may_read.wait()
+
+
 class UnreachableEngine(Peer):
     """An engine whose machine neither accepts nor rejects connections: its listen backlog is full."""
 
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -21,7 +21,6 @@
 from tuliptrack.node.admission import AdmissionDecision
 from tuliptrack.node.attempt_end import AttemptEndHandler
 from tuliptrack.node.attempt_start import AttemptStarter
-from tuliptrack.node.attempt_state import may_have_executed
 from tuliptrack.node.core_state import CoreState
 from tuliptrack.node.event_dispatch import EventDispatcher
 from tuliptrack.node.final_answers import FinalAnswers
@@ -198,15 +197,8 @@
     def client_disconnected(self, record: RequestRecord, reason: str) -> None:
         """Handle the disconnection of a client."""
         was_streaming = record.state is RequestState.STREAMING
-        if not record.conclude(RequestState.DISCONNECTED, reason):
-            return
-        self.dispatch(io.ClientDisconnected(record.id))
-        call = record.attempt.call if record.attempt else None
-        # End a stream that nobody reads, and an attempt that was not sent. The router cancels other attempts
-        # if the settings allow it.
-        if call and (was_streaming or not may_have_executed(call.delivery())):
-            call.cancel(io.Status.CANCELLED)
-        self.remove_if_finished(record)
+        if record.conclude(RequestState.DISCONNECTED, reason):
+            self.answers.end_request(record, was_streaming)
 
     def client_can_receive(self, record: RequestRecord) -> None:
         """Resume the stream of a client that has read the output that was waiting for it."""
--- a/tuliptrack/node/final_answers.py
+++ b/tuliptrack/node/final_answers.py
@@ -2,7 +2,8 @@
 
 A request is rejected only if a retry by the client is harmless; otherwise it fails. A single rule decides
 this (`routing/idempotency.py`): the router applies it before its own `Reject`, and this module at shutdown.
-`RequestRecord.conclude` ensures that each request gets only one final answer.
+`RequestRecord.conclude` ensures that each request gets only one final answer. `end_request` is the only place
+where a request that needs nothing more gives up its attempt.
 """
 
 from __future__ import annotations
@@ -93,8 +94,24 @@
             self.reject(record, reason, 0)
         else:
             self.fail(record, Failure.LOST, reason)
-        # The router has nothing more to do for the request; on this event it cancels the attempt in flight.
+        self.end_request(record)
+
+    def end_request(self, record: RequestRecord, was_streaming: bool = False) -> None:
+        """Give up the attempt of a request that has its final state, if it may be given up.
+
+        The router cancels an attempt that was sent only if the settings allow it. Cancelled in any case are
+        the stream that nobody reads, and an attempt whose last byte was not written: its engine would read
+        the rest later and run a request whose client was told that a retry is harmless. Until its last byte
+        is written it cannot run, and a cancelled attempt writes nothing more.
+
+        Args:
+            record: the request; its client has its final answer or has disconnected.
+            was_streaming: whether its stream had begun.
+        """
         self._core.dispatch(io.ClientDisconnected(record.id))
+        call = record.attempt.call if record.attempt else None
+        if call and (was_streaming or not may_have_executed(call.delivery())):
+            call.cancel(io.Status.CANCELLED)
         self._core.remove_if_finished(record)
 
     def _executed_at_us(self, record: RequestRecord) -> int | None:
