A repeat is cancelled at the end of its deduplication window unless it was written in full

Callers may see: an effect that takes place twice. An attempt that repeats one which may have executed gets its connection within the window, but an engine that hangs in the middle of receiving it and reads on after the window takes it for a new request.

Cause: the window bounded the wait for a connection (connect_by), not the writing: an attempt counts when its last byte has come.

Such an attempt has not run, so the request ends as if it had got no connection in time.

Evidence: test_a_half_written_repeat_is_cancelled_at_the_end_of_its_window and test_every_order_of_ends_keeps_the_rules (with its new rule repeat_hangs_in_mid_request) fail before with "rule 2: sent again after its window".

--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -244,6 +244,7 @@
         observed = self.observed[call.record.id]
         assert not observed.is_leave_reported, "finished for a client that has disconnected"
         assert not observed.answer.ends, f"rule 2: runs after its request was {observed.answer.ends}"
+        self.check_repeat(observed)
         call.sent_at_us, call.has_arrived = self.now, has_arrived
         if has_arrived:
             observed.reserved_since_us = 0
@@ -447,6 +448,24 @@
             if breaks:
                 self.run_on_loop(call.end, AttemptResult(io.Status.RESET, "failed"))
 
+    @rule(prefix=st.integers(1, 3))
+    def repeat_hangs_in_mid_request(self, prefix: int) -> None:
+        """A decode attempt that may have executed breaks. The engine of the next attempt stops reading in the
+        middle of it, and reads on after the deduplication window.
+        """
+        self.submit_and_prefill(DEADLINES_US[-1], prefix)
+        request = max(self.engines.observed)
+        for is_first in (True, False):
+            calls = [call for call in self.calls_in_flight(is_begun=False) if call.record.id == request]
+            if not calls or calls[0].attempt.is_prefill:
+                return
+            self.run_on_loop(self.engines.begin, calls[0])
+            if not is_first:
+                self.time_passes(0.21)
+            self.run_on_loop(self.engines.finish, calls[0], True)
+            if is_first:
+                self.run_on_loop(calls[0].end, AttemptResult(io.Status.RESET, "failed"))
+
     @precondition(lambda self: self.awaited_requests())
     @rule(number=st.integers(0, 9), unread=st.booleans())
     def client_leaves(self, number: int, unread: bool) -> None:
@@ -688,6 +707,10 @@
     core.class_of = lambda record: replace(class_of(record), idempotency=io.Idempotency.IDEMPOTENT)  # type: ignore[method-assign]
 
 
+def without_end_of_window(core: Core) -> None:
+    core.attempt_starter._end_window = lambda record, attempt: None  # type: ignore[method-assign]
+
+
 def without_cancellation_of_unsent_attempts(core: Core) -> None:
     def notify_router_only(record: RequestRecord, was_streaming: bool = False) -> None:
         core.dispatch(io.ClientDisconnected(record.id))
@@ -726,6 +749,7 @@
         with_write_as_arrival,
         without_check_on_connection,
         without_deduplication_window,
+        without_end_of_window,
         without_cancellation_of_unsent_attempts,
         without_release_of_broken_prefills,
         without_disconnections,
@@ -764,6 +788,15 @@
         assert not any(call.sent_at_us for call in machine.engines.calls)
 
 
+# Guards against a repeat whose last byte is written after its deduplication window, when it counts as a new request.
+def test_a_half_written_repeat_is_cancelled_at_the_end_of_its_window() -> None:
+    with started_machine(io.Idempotency.WITH_KEY) as machine:
+        machine.repeat_hangs_in_mid_request(1)
+        assert machine.engines.observed[1].executed_at_us
+        hung = [call for call in machine.engines.calls if call.is_begun and not call.sent_at_us]
+        assert hung and all(call.is_over for call in hung)
+
+
 def test_release_is_repeated_when_the_attempt_that_kept_the_state_reserved_ends() -> None:
     """A client disconnects while a decode attempt waits for the KV state of its request. The release that
     follows does not free the state, because an attempt waits for it. Unless the core sends another release
--- a/tuliptrack/node/attempt_end.py
+++ b/tuliptrack/node/attempt_end.py
@@ -44,6 +44,7 @@
             return
         core = self._core
         core.timers.cancel(attempt.timer)
+        core.timers.cancel(attempt.window_timer)
         record.attempt = None
         record.pending_events += 1
         latency_us = core.now() - attempt.sent_at_us
--- a/tuliptrack/node/attempt_start.py
+++ b/tuliptrack/node/attempt_start.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from tuliptrack import interface as io
-from tuliptrack.node.attempt_state import Verdict, may_retry, may_send, retry_by_us
+from tuliptrack.node.attempt_state import Verdict, may_have_executed, may_retry, may_send, retry_by_us
 from tuliptrack.node.core_state import CoreState
 from tuliptrack.node.request_state import RequestState
 from tuliptrack.node.requests import Attempt, RequestRecord
@@ -112,18 +112,39 @@
         record.trace.add(attempt.sent_at_us, f"{stage} {attempt.number} at {action.endpoint_id}")
         attempt.call = self._core.engines.start(record, attempt, timeout_us)
         attempt.timer = self._core.timers.call_later(timeout_us, self.expire, record, attempt)
+        self._limit_to_window(record, attempt)
         self._core.attempt_sent(record, attempt, action)
 
+    def _limit_to_window(self, record: RequestRecord, attempt: Attempt) -> None:
+        """Cancel the attempt at the end of its deduplication window, unless its last byte is written by then.
+
+        Otherwise an engine that hangs in the middle of receiving a repeat, and reads on after the window,
+        would take it for a new request: the effect would take place twice.
+        """
+        if window_end_us := self._window_end_us(record):
+            left_us = max(window_end_us - attempt.sent_at_us, 0)
+            attempt.window_timer = self._core.timers.call_later(left_us, self._end_window, record, attempt)
+
+    @staticmethod
+    def _end_window(record: RequestRecord, attempt: Attempt) -> None:
+        attempt.window_timer = None
+        is_in_flight = record.attempt is attempt and attempt.call is not None
+        if is_in_flight and attempt.call and not may_have_executed(attempt.call.delivery()):
+            attempt.call.cancel(io.Status.TIMEOUT)
+
+    def _window_end_us(self, record: RequestRecord) -> int:
+        """Return the time by which a repeat has to be written; 0 if there is no limit."""
+        request_class = self._core.class_of(record)
+        return retry_by_us(
+            request_class.idempotency, record.executed_at_us, request_class.deduplication_window_us
+        )
+
     def _connect_by_us(self, record: RequestRecord) -> int:
         """Return the time by which an attempt needs its connection; 0 if there is no limit.
 
         After that time the lease of its KV state has expired, or an engine would treat a retry as a new
         request: the deduplication window counts from the earliest time at which an attempt may have executed.
         """
-        request_class = self._core.class_of(record)
         lease_end_us = self._core.leases.connect_by_us(record)
-        window_end_us = retry_by_us(
-            request_class.idempotency, record.executed_at_us, request_class.deduplication_window_us
-        )
-        limits_us = [limit_us for limit_us in (lease_end_us, window_end_us) if limit_us]
+        limits_us = [limit_us for limit_us in (lease_end_us, self._window_end_us(record)) if limit_us]
         return min(limits_us, default=0)
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -38,6 +38,9 @@
     ends_at_deadline: bool = False
     """Whether the attempt's timeout is the client's deadline, not a timeout that the router chose."""
     timer: asyncio.TimerHandle | None = None
+    """The timer of the attempt's timeout."""
+    window_timer: asyncio.TimerHandle | None = None
+    """The timer of the deduplication window, if the attempt repeats one that may have executed."""
     cross_zone_cause: CrossZoneCause | None = None
     """The reason for which the attempt may cross zones; None if it does not cross zones."""
     transfers: list[Transfer] = field(default_factory=list)
