The rest of a request that an engine answered early is not sent: its connection is dropped

Callers may see: two attempts of one request. An engine that turns a request away before it has read all of it got the rest on the kept connection, and might run it, after the request had been sent to another engine.

Cause: ClientConnection._done returned a connection to the pool as soon as the answer was complete, with the rest of the request still in its write buffer.

Change: such a connection is dropped, as RFC 9112 (9.3) suggests; the attempt counts as it did.

Evidence: test_the_rest_of_a_request_that_was_rejected_early_is_not_sent fails before: the engine that had answered 503 received the whole body as well. Result: tests/rpc, tests/relay/test_endings.py, test_silent_connections.py pass.

--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -116,6 +116,29 @@
     run(go)
 
 
+# Guards against two attempts of one request, as the rest of the first is sent after its engine has turned it away.
+def test_the_rest_of_a_request_that_was_rejected_early_is_not_sent() -> None:
+    async def go() -> None:
+        rejection = b"HTTP/1.1 503 Busy\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n"
+        rejecting = HangingReceiver(answer_decode, rejection)
+        async with platform(without_cancel(), m0=rejecting, m1=answer_decode) as p:
+            body = b'{"text":"%b"}' % (b"x" * rejecting.LARGE_BODY_BYTES)
+            number = 0
+            while not rejecting.hanging:
+                number += 1
+                info = (
+                    f"prefix=p{number},prompt_len=9,prefix_len=4,max_out=20"  # Each prefix has another home.
+                )
+                reply = await p.send(request(f"early-{number}", body, "9", X_Call_Info=info))
+                assert (reply.status, reply.is_complete) == (200, True)
+            rejecting.may_read.set()
+            await until(lambda: not rejecting.open_connections)
+            assert not rejecting.received()
+            assert len(p.engines["m1"].received()) == number
+
+    run(go)
+
+
 # Guards against a prefill that is answered after its request has failed at a shutdown, and leaves its state reserved.
 def test_the_state_of_a_prefill_that_outlives_its_request_is_released() -> None:
     async def go() -> None:
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -173,7 +173,9 @@
 
     def _done(self, exchange: Exchange) -> None:
         self.exchange = None
-        if not self.dead and self.side.start_next_cycle():
+        # The rest of a request that was answered early must not be sent: the peer would receive the request in
+        # full, and might process it, after it was sent to another peer.
+        if not self.dead and exchange.sent and self.side.start_next_cycle():
             self.owner.return_to_pool(self)
         else:
             self.drop("can't be used again")
