A connection that its peer ends as it is opened fails to open, and leaves the budget

Cause, one for both: a few iterations of the loop pass between the moment a connection is up and Pool.opened. An end that was reported within them was lost: the connection stayed in Pool.links and in ConnectionBudget for ever, and the request on it counted as sent and had no end.

Change: _Borrow checks a new connection in the step in which it is registered: ended, or closed by its peer as the kernel knows, it has failed to open, as a refused one. An ended connection is not returned to a pool.

--- a/tuliptrack/rpc/http1_pool.py
+++ b/tuliptrack/rpc/http1_pool.py
@@ -177,6 +177,7 @@
             try:
                 await self._dial(connection, left)
                 self._local_error = None
+                _check_open(connection)
                 return connection
             except OSError as error:
                 self._local_error = (
@@ -251,6 +252,18 @@
         return task
 
 
+def _check_open(connection: ClientConnection) -> None:
+    """Raise ConnectionResetError if the peer has ended a connection that has just been opened.
+
+    A few iterations of the loop pass between the two, and the end of the connection is reported only once.
+    Registered after that, the connection would count in the budget forever, and a request that is written to
+    it would have no end.
+    """
+    if connection.dead or connection.is_closed_by_peer():
+        connection.drop("ended at once")
+        raise ConnectionResetError(errno.ECONNRESET, "the peer has ended the new connection")
+
+
 def no_probe(address: str) -> Exchange | None:
     """Return no probe: for peers on which every request has an effect."""
     return None
@@ -335,8 +348,8 @@
         self.links.add(connection)
 
     def return_to_pool(self, connection: ClientConnection) -> None:
-        if self._closed:
-            connection.drop("closed")
+        if self._closed or connection.dead:
+            connection.drop("closed, or ended by its peer")
             return
         connection.opened_for = None
         connection.idle_since = self.loop.time()
