Requests that end after an internal error give up their attempts through end_request too

Cause: fail_after_internal_error repeated what end_request does, though a docstring called that the only place; a condition of AttemptStarter._end_window stood twice. Change: end_request takes must_cancel in place of was_streaming, and names the request's router as the repeated lines did. No test covered a router that fails: one does now. Behaviour as before. Result: the new test passes on the code before and after; tests/node, tests/fronts and the relay tests of endings, process failures and shutdowns pass, no assertion changed.

--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -712,7 +712,7 @@
 
 
 def without_cancellation_of_unsent_attempts(core: Core) -> None:
-    def notify_router_only(record: RequestRecord, was_streaming: bool = False) -> None:
+    def notify_router_only(record: RequestRecord, must_cancel: bool = False) -> None:
         core.dispatch(io.ClientDisconnected(record.id))
         core.remove_if_finished(record)
 
@@ -788,6 +788,24 @@
         assert not any(call.sent_at_us for call in machine.engines.calls)
 
 
+# Guards against a stream that goes on, and a request that stays in the tables, after its router has failed.
+def test_a_request_whose_router_fails_is_answered_once_and_its_attempt_cancelled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def fail(now: int, events: list[io.Event]) -> list[io.Action]:
+        monkeypatch.undo()
+        raise RuntimeError("a fault of the router")
+
+    with started_machine(io.Idempotency.NOT_IDEMPOTENT) as machine:
+        machine.submit_and_prefill(4_000_000, 1)
+        machine.connection_comes_up(0, has_arrived=True)
+        [call] = machine.calls_in_flight()
+        monkeypatch.setattr(machine.core.router, "handle", fail)
+        machine.stream_continues(0, last=False)
+        assert machine.engines.observed[1].answer.ends == ["failed"]
+        assert call.is_over and not machine.core.table.open and not machine.core.router.in_flight
+
+
 # Guards against a repeat whose last byte is written after its deduplication window, when it counts as a new request.
 def test_a_half_written_repeat_is_cancelled_at_the_end_of_its_window() -> None:
     with started_machine(io.Idempotency.WITH_KEY) as machine:
--- a/tuliptrack/node/attempt_start.py
+++ b/tuliptrack/node/attempt_start.py
@@ -128,9 +128,9 @@
     @staticmethod
     def _end_window(record: RequestRecord, attempt: Attempt) -> None:
         attempt.window_timer = None
-        is_in_flight = record.attempt is attempt and attempt.call is not None
-        if is_in_flight and attempt.call and not may_have_executed(attempt.call.delivery()):
-            attempt.call.cancel(io.Status.TIMEOUT)
+        call = attempt.call
+        if record.attempt is attempt and call and not may_have_executed(call.delivery()):
+            call.cancel(io.Status.TIMEOUT)
 
     def _window_end_us(self, record: RequestRecord) -> int:
         """Return the time by which a repeat has to be written; 0 if there is no limit."""
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -198,7 +198,8 @@
         """Handle the disconnection of a client."""
         was_streaming = record.state is RequestState.STREAMING
         if record.conclude(RequestState.DISCONNECTED, reason):
-            self.answers.end_request(record, was_streaming)
+            # A stream that nobody reads is cancelled whatever the settings say.
+            self.answers.end_request(record, must_cancel=was_streaming)
 
     def client_can_receive(self, record: RequestRecord) -> None:
         """Resume the stream of a client that has read the output that was waiting for it."""
--- a/tuliptrack/node/final_answers.py
+++ b/tuliptrack/node/final_answers.py
@@ -2,8 +2,8 @@
 
 A request is rejected only if a retry by the client is harmless; otherwise it fails. A single rule decides
 this (`routing/idempotency.py`): the router applies it before its own `Reject`, and this module at shutdown.
-`RequestRecord.conclude` ensures that each request gets only one final answer. `end_request` is the only place
-where a request that needs nothing more gives up its attempt.
+`RequestRecord.conclude` ensures that each request gets only one final answer. `end_request` gives up the
+attempt of a request that needs nothing more.
 """
 
 from __future__ import annotations
@@ -69,11 +69,7 @@
             return
         record.response.failed(Failure.LOST, "internal", record.next_index)
         self._core.leases.release(record)
-        # Makes the router drop the request, if the router still can.
-        self._core.dispatch(io.ClientDisconnected(request_id), record.router)
-        if record.attempt and record.attempt.call:
-            record.attempt.call.cancel(io.Status.CANCELLED)
-        self._core.remove_if_finished(record)
+        self.end_request(record, must_cancel=True)
 
     def conclude_at_shutdown(self, record: RequestRecord) -> None:
         """Give an open request its final answer when the node shuts down.
@@ -96,21 +92,21 @@
             self.fail(record, Failure.LOST, reason)
         self.end_request(record)
 
-    def end_request(self, record: RequestRecord, was_streaming: bool = False) -> None:
+    def end_request(self, record: RequestRecord, must_cancel: bool = False) -> None:
         """Give up the attempt of a request that has its final state, if it may be given up.
 
-        The router cancels an attempt that was sent only if the settings allow it. Cancelled in any case are
-        the stream that nobody reads, and an attempt whose last byte was not written: its engine would read
-        the rest later and run a request whose client was told that a retry is harmless. Until its last byte
-        is written it cannot run, and a cancelled attempt writes nothing more.
+        The router, if it still can, drops the request on this event, and cancels an attempt that was sent if
+        the settings allow it. An attempt whose last byte was not written is cancelled in any case: its engine
+        would read the rest later and run a request whose client was told that a retry is harmless. Until its
+        last byte is written it cannot run, and a cancelled attempt writes nothing more.
 
         Args:
             record: the request; its client has its final answer or has disconnected.
-            was_streaming: whether its stream had begun.
+            must_cancel: whether to cancel whatever the settings say, such as a stream that nobody reads.
         """
-        self._core.dispatch(io.ClientDisconnected(record.id))
+        self._core.dispatch(io.ClientDisconnected(record.id), record.router)
         call = record.attempt.call if record.attempt else None
-        if call and (was_streaming or not may_have_executed(call.delivery())):
+        if call and (must_cancel or not may_have_executed(call.delivery())):
             call.cancel(io.Status.CANCELLED)
         self._core.remove_if_finished(record)
 
