A position in the body in place of a view of it; closed connections drop their input once

Cause: ClientConnection kept a view of the rest of a body, which had to be cleared in three places, as even an empty view holds the body in memory. A connection that had lingered made a new parser a second time as it was lost. Change: the connection keeps how much of the exchange's body it has written; connection_lost discards what was not discarded before. Imports of held_bytes.py are plain; the paragraph on limits in http1.py is laid out anew. Behaviour as before. Result: tests/rpc and tests/relay pass, among them the three of test_memory.py that count bytes.

--- a/tuliptrack/relay/held_bytes.py
+++ b/tuliptrack/relay/held_bytes.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from tuliptrack.relay.engine_pools import EnginePools
-    from tuliptrack.relay.front import Front
+from tuliptrack.relay.engine_pools import EnginePools
+from tuliptrack.relay.front import Front
 
 __all__ = ["held_bytes"]
 
--- a/tuliptrack/rpc/http1.py
+++ b/tuliptrack/rpc/http1.py
@@ -10,12 +10,12 @@
 
 Limits: the work on received input in one iteration of the loop (`input_scheduler.py`), the number of
 connections (at the limit, the connection that has been idle for longest is evicted), header and body sizes,
-the bytes of request bodies being received (a `ByteBudget` shared with the other servers), the bytes of requests
-that wait behind the one being answered (another), the time from the
-connect to the first complete request, the time to receive each request, and the bytes that wait for a slow
-reader (`send` returns False, `on_writable` is called once it may continue). A rejection that is known from
-the headers is sent before the body is read, and the connection is closed after it. A connection has no task:
-its transport calls back, and one timer enforces its timeouts.
+the bytes of request bodies being received (a `ByteBudget` shared with the other servers), the bytes of
+requests that wait behind the one being answered (another `ByteBudget`), the time from the connect to the
+first complete request, the time to receive each request, and the bytes that wait for a slow reader (`send`
+returns False, `on_writable` is called once it may continue). A rejection that is known from the headers is
+sent before the body is read, and the connection is closed after it. A connection has no task: its transport
+calls back, and one timer enforces its timeouts.
 """
 
 from __future__ import annotations
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -81,8 +81,8 @@
         """Work done on input in this turn."""
         self._is_held = False
         """Whether the exchange asks to read nothing."""
-        self._unwritten = memoryview(b"")
-        """The part of the request's body that the transport does not have yet."""
+        self._body_position = 0
+        """How much of the body of the exchange's request the transport was given."""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -98,17 +98,20 @@
 
     def _write_body(self, exchange: Exchange) -> None:
         """Write the body, a part at a time: the transport copies what the kernel does not take."""
-        size = self.owner.options.write_bytes
-        while self._unwritten and not self.write_buffer_bytes and not self.transport.is_closing():
-            part, self._unwritten = self._unwritten[:size], self._unwritten[size:]
-            self.transport.write(part)
-        if not self._unwritten and not self.write_buffer_bytes:
+        size, body = self.owner.options.write_bytes, memoryview(exchange.body)
+        while (
+            self._body_position < len(body)
+            and not self.write_buffer_bytes
+            and not self.transport.is_closing()
+        ):
+            self.transport.write(body[self._body_position : self._body_position + size])
+            self._body_position += size
+        if self._body_position >= len(body) and not self.write_buffer_bytes:
             self._sent(exchange)
 
     def _sent(self, exchange: Exchange) -> None:
         exchange.sent, exchange.sent_at = True, self.owner.loop.time()
         exchange.body = b""  # An exchange is never sent again.
-        self._unwritten = memoryview(b"")
 
     def begin(self, exchange: Exchange) -> None:
         """Send a request."""
@@ -122,9 +125,8 @@
             return
         self.exchange, exchange.carrier = exchange, self
         # The head goes out together with the first part of the body, in one segment if they fit.
-        first_bytes = max(self.owner.options.write_bytes - len(head), 0)
-        self._unwritten = memoryview(exchange.body)[first_bytes:]
-        self.transport.write(head + exchange.body[:first_bytes])
+        self._body_position = max(self.owner.options.write_bytes - len(head), 0)
+        self.transport.write(head + exchange.body[: self._body_position])
         self._write_body(exchange)
         if exchange.paused:
             self.pause()
@@ -247,7 +249,6 @@
     def drop(self, reason: str) -> None:
         """Close the connection now."""
         self.exchange = None
-        self._unwritten = memoryview(b"")
         self._inputs.remove(self)
         if not self.dead:
             self.dead = True
--- a/tuliptrack/rpc/http1_connection.py
+++ b/tuliptrack/rpc/http1_connection.py
@@ -187,7 +187,8 @@
         if self._timer:
             self._timer.cancel()
         self._inputs.remove(self)
-        self._discard_input()
+        if not self._is_lingering:  # Otherwise the input was discarded as the write side was shut down.
+            self._discard_input()
         call, self.call, self._receiving = self.call, None, None
         self.server.remove(self)
         if call:
