Tests share the ends of client sockets, the large body and the prefill that waits

Cause: test_http1_pool.py wrote fin and reset of test_client_disconnects.py again, test_endings.py its slow prefill; the large body was made in three places, in two sizes.

--- a/tests/relay/test_client_disconnects.py
+++ b/tests/relay/test_client_disconnects.py
@@ -7,7 +7,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 import time
 from collections.abc import Callable
 
@@ -19,9 +18,13 @@
     UnreachableEngine,
     answer_decode,
     answer_prefill,
+    answer_prefill_after,
     delay_connections,
+    fin,
+    half_close,
     platform,
     request,
+    reset,
 )
 from world import run, until
 
@@ -30,19 +33,6 @@
 Disconnect = Callable[[socket.socket], None]
 
 
-def fin(sock: socket.socket) -> None:
-    sock.close()
-
-
-def half_close(sock: socket.socket) -> None:
-    sock.shutdown(socket.SHUT_WR)
-
-
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 DISCONNECTS = [fin, half_close, reset]
 
 
@@ -72,14 +62,11 @@
     async def go() -> None:
         may_end = asyncio.Event()
 
-        async def slow_prefill(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-            if received.method == "POST":
-                await may_end.wait()
-            await answer_prefill(received, writer)
-
         # The node may not cancel attempts: the prefill succeeds after its client has left.
         limits = {**SETTINGS["limits"], "cancel": False}
-        async with platform({"settings": {"limits": limits}}, r0=slow_prefill, w0=answer_decode) as p:
+        async with platform(
+            {"settings": {"limits": limits}}, r0=answer_prefill_after(may_end), w0=answer_decode
+        ) as p:
             sock = client(p, request("leaves"))
             await until(lambda: bool(attempts(p, "leaves")))
             if ahead:
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -11,6 +11,7 @@
 
 import pytest
 from relay_harness import (
+    LARGE_BODY,
     SETTINGS,
     STREAM,
     STREAM_HEAD,
@@ -20,6 +21,7 @@
     ReceivedRequest,
     answer_decode,
     answer_prefill,
+    answer_prefill_after,
     chunk,
     never_answer,
     platform,
@@ -101,8 +103,7 @@
         engine = HangingReceiver(answer_decode)
         async with platform(without_cancel(), m0=engine) as p:
             reader, writer = await p.connect()
-            body = b'{"text":"%b"}' % (b"x" * engine.LARGE_BODY_BYTES)
-            writer.write(request("half", body, budget))
+            writer.write(request("half", LARGE_BODY, budget))
             await until(lambda: engine.hanging == 1)
             end(p, writer)
             if status:
@@ -122,14 +123,12 @@
         rejection = b"HTTP/1.1 503 Busy\r\nx-rejected: 1\r\ncontent-length: 0\r\n\r\n"
         rejecting = HangingReceiver(answer_decode, rejection)
         async with platform(without_cancel(), m0=rejecting, m1=answer_decode) as p:
-            body = b'{"text":"%b"}' % (b"x" * rejecting.LARGE_BODY_BYTES)
             number = 0
             while not rejecting.hanging:
                 number += 1
-                info = (
-                    f"prefix=p{number},prompt_len=9,prefix_len=4,max_out=20"  # Each prefix has another home.
-                )
-                reply = await p.send(request(f"early-{number}", body, "9", X_Call_Info=info))
+                # Each prefix has its own home, so that one of them soon has the rejecting engine.
+                info = f"prefix=p{number},prompt_len=9,prefix_len=4,max_out=20"
+                reply = await p.send(request(f"early-{number}", LARGE_BODY, "9", X_Call_Info=info))
                 assert (reply.status, reply.is_complete) == (200, True)
             rejecting.may_read.set()
             await until(lambda: not rejecting.open_connections)
@@ -144,12 +143,7 @@
     async def go() -> None:
         may_end = asyncio.Event()
 
-        async def slow_prefill(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
-            if received.method == "POST":
-                await may_end.wait()
-            await answer_prefill(received, writer)
-
-        async with platform(without_cancel(), r0=slow_prefill, w0=answer_decode) as p:
+        async with platform(without_cancel(), r0=answer_prefill_after(may_end), w0=answer_decode) as p:
             reader, writer = await p.connect()
             writer.write(request("outlived"))
             await until(lambda: bool(p.received()))
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -13,6 +13,7 @@
 
 import pytest
 from relay_harness import (
+    LARGE_BODY,
     SETTINGS,
     STREAM_HEAD,
     TOKEN_EVENTS,
@@ -32,7 +33,6 @@
 
 MIB = 1_048_576
 MAX_BODY_BYTES = 262_144
-LARGE_BODY = b'{"text":"%b"}' % (b"x" * 260_000)
 CLIENTS = 48
 LIMITS = {"cores": 1.0, "memory_mb": 54, "sockets": 256}
 PATIENT = {**SETTINGS["classes"][0], "promise": 60_000_000, "deadline": 60_000_000}
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -9,6 +9,7 @@
 import json
 import re
 import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -71,6 +72,8 @@
     b"data: [DONE]\n\n",
 ]
 STREAM = b"".join(TOKEN_EVENTS + FINAL_EVENTS)
+LARGE_BODY = b'{"text":"%b"}' % (b"x" * 260_000)
+"""A request's body of nearly the size that the protocol allows."""
 
 
 def chunk(data: bytes) -> bytes:
@@ -124,8 +127,9 @@
                 fields = dict(
                     (k.lower(), v.strip()) for k, _, v in (x.partition(":") for x in lines[1:] if x)
                 )
-                await self.before_body(int(fields.get("content-length", 0)), writer)
-                body = await reader.readexactly(int(fields.get("content-length", 0)))
+                size = int(fields.get("content-length", 0))
+                await self.before_body(size, writer)
+                body = await reader.readexactly(size)
                 received = ReceivedRequest(method, target, fields, body)
                 self.all_received.append(received)
                 script = asyncio.ensure_future(self.script(received, writer))
@@ -169,6 +173,22 @@
         return [received for received in self.all_received if received.method == method]
 
 
+def fin(sock: socket.socket) -> None:
+    """Close a connection."""
+    sock.close()
+
+
+def half_close(sock: socket.socket) -> None:
+    """Shut down the write side of a connection."""
+    sock.shutdown(socket.SHUT_WR)
+
+
+def reset(sock: socket.socket) -> None:
+    """Close a connection with a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 def delay_connections(patch: pytest.MonkeyPatch, delay: Callable[[int], float]) -> None:
     """Delay each connection that this loop opens by `delay(port)` seconds, where `port` is its
     destination.
@@ -184,13 +204,12 @@
 
 
 class HangingReceiver(Peer):
-    """An engine that reads the head of a large request, and the rest once `may_read` is set.
+    """An engine that reads the head of a request with `LARGE_BODY`, and the rest once `may_read` is set.
 
     Its connections have the segments of a network and a small window, so that most of a large body waits at
     the node.
     """
 
-    LARGE_BODY_BYTES = 200_000
     _SEGMENT_BYTES = 1_448
     _WINDOW_BYTES = 4_096
 
@@ -212,7 +231,7 @@
         return self
 
     async def before_body(self, size: int, writer: asyncio.StreamWriter) -> None:
-        if size >= self.LARGE_BODY_BYTES:
+        if size >= len(LARGE_BODY):
             self.hanging += 1
             writer.write(self.early_answer)
             await self.may_read.wait()
@@ -251,6 +270,17 @@
     )
 
 
+def answer_prefill_after(may_end: asyncio.Event) -> Script:
+    """Return the script of a prefill engine that answers once `may_end` is set, and releases at once."""
+
+    async def slow_prefill(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if received.method == "POST":
+            await may_end.wait()
+        await answer_prefill(received, writer)
+
+    return slow_prefill
+
+
 async def answer_decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
     """Answer as a decode engine: the complete stream with a load report at its end, or 204 to a release."""
     if received.method == "DELETE":
--- a/tests/rpc/test_http1_pool.py
+++ b/tests/rpc/test_http1_pool.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import pytest
+from relay_harness import fin, reset
 from world import run
 
 from tuliptrack.decisions.concurrency_limit import ByteBudget
@@ -22,15 +22,6 @@
 CONNECTIONS = 4
 
 
-def fin(sock: socket.socket) -> None:
-    sock.close()
-
-
-def reset(sock: socket.socket) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
-
-
 async def unnoticed(connection: ClientConnection) -> None:
     """The connection is used before the loop looks at its socket."""
 
