--- a/tests/fronts/test_kserve.py
+++ b/tests/fronts/test_kserve.py
@@ -541,7 +541,7 @@
             assert status == 408 and "0.7 s" in got["error"]
             await until(lambda: w.node.bodies.used_bytes == 0)
             not_reading.generate("q1 what?", stream=True)
-            await until(lambda: any(record.paused_at_us for record in w.node.table.open.values()))
+            await until(lambda: any(record.stream.paused_at_us for record in w.node.table.open.values()))
             async with rest(w) as other:
                 other.generate("q2 what?", max_tokens=20)
                 assert (await other.answer())[1]["completion_tokens"] == 20
--- a/tests/node/test_core_orders.py
+++ b/tests/node/test_core_orders.py
@@ -118,6 +118,9 @@
 
     def mark_doubtful(self) -> None: ...
 
+    def has_unread(self) -> bool:
+        return False
+
     def pause(self) -> None: ...
 
     def resume(self) -> None: ...
--- a/tests/relay/test_streams_in_time.py
+++ b/tests/relay/test_streams_in_time.py
@@ -124,7 +124,9 @@
             await until(lambda: p.relay.directory.revision == p.revision)
             slow = [send_and_read_nothing(p, f"slow-{number}") for number in range(4)]
             await until(
-                lambda: sum(record.paused_at_us > 0 for record in p.relay.table.open.values()) == len(slow)
+                lambda: (
+                    sum(record.stream.paused_at_us > 0 for record in p.relay.table.open.values()) == len(slow)
+                )
             )
             lag, delays = Lag(), Delays()
             lag.task = asyncio.ensure_future(lag.watch())
--- a/tests/test_full_path.py
+++ b/tests/test_full_path.py
@@ -75,7 +75,7 @@
             assert slow.call
             slow.call.pause()
             record = next(iter(w.node.table.open.values()))
-            await until(lambda: record.paused_at_us)
+            await until(lambda: record.stream.paused_at_us)
             quick = w.ask(timeout=None, max_tokens=300)
             assert (await quick.wait()).status.code is Code.OK
             quick.check_tokens()
--- /dev/null
+++ b/tuliptrack/decisions/stream_idle.py
@@ -0,0 +1,92 @@
+"""Decides when a stream whose answer has begun is ended, because its engine or its client has stopped.
+
+`StreamActivity` is the only place that says which output counts, and from when the idle time runs. All times
+are monotonic microseconds.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["StreamActivity", "StreamLimits", "StreamVerdict"]
+
+
+class StreamVerdict(Enum):
+    """Whether a stream goes on, or the reason for its end."""
+
+    CONTINUES = "continues"
+    ENGINE_IDLE = "the engine fell silent mid-stream"
+    CLIENT_STALLED = "the client leaves its answer unread"
+
+
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """Time limits of streams that have begun."""
+
+    max_idle_us: int = 15_000_000
+    """Maximum time since the last event."""
+    max_client_stall_us: int = 30_000_000
+    """Maximum time for which a client may leave its answer unread."""
+    recheck_us: int = 250_000
+    """Time after which a stream is checked again if its verdict depends on what its connection holds."""
+
+
+@dataclass(slots=True)
+class StreamActivity:
+    """What has happened to the stream of one request. A time of 0 means never."""
+
+    last_event_at_us: int = 0
+    last_output_at_us: int = 0
+    last_byte_at_us: int = 0
+    paused_at_us: int = 0
+    """When the client stopped reading; 0 while it reads."""
+    pause_count: int = 0
+    _paused_before_us: int = 0
+    """Duration of the pauses that are over."""
+
+    def bytes_arrived(self, arrived_at_us: int) -> None:
+        """Note that the engine sent anything at all."""
+        self.last_byte_at_us = max(self.last_byte_at_us, arrived_at_us)
+
+    def output_arrived(self, arrived_at_us: int) -> None:
+        """Note output for the client."""
+        self.bytes_arrived(arrived_at_us)
+        self.last_output_at_us = max(self.last_output_at_us, arrived_at_us)
+        self.last_event_at_us = max(self.last_event_at_us, arrived_at_us)
+
+    def pause(self, now_us: int) -> None:
+        """Note that the client accepts no more for now."""
+        if not self.paused_at_us:
+            self.paused_at_us = now_us
+            self.pause_count += 1
+
+    def resume(self, now_us: int) -> None:
+        """Note that the client reads again."""
+        self._paused_before_us += now_us - self.paused_at_us
+        self.paused_at_us = 0
+        self.last_event_at_us = now_us
+
+    def paused_us(self, now_us: int) -> int:
+        """Return for how long the client has not read, in all."""
+        return self._paused_before_us + (now_us - self.paused_at_us if self.paused_at_us else 0)
+
+    def verdict(self, now_us: int, limits: StreamLimits) -> StreamVerdict:
+        """Decide whether the stream goes on."""
+        if self.paused_at_us and now_us >= self.paused_at_us + limits.max_client_stall_us:
+            return StreamVerdict.CLIENT_STALLED
+        if now_us < self._idle_at_us(limits) or self.paused_at_us:
+            return StreamVerdict.CONTINUES
+        return StreamVerdict.ENGINE_IDLE
+
+    def check_at_us(self, now_us: int, limits: StreamLimits) -> int:
+        """Return when to ask for the verdict, unless the client pauses or resumes the stream before."""
+        idle_at_us = self._idle_at_us(limits)
+        if not self.paused_at_us:
+            return idle_at_us
+        stalled_at_us = self.paused_at_us + limits.max_client_stall_us
+        return min(stalled_at_us, idle_at_us if now_us < idle_at_us else now_us + limits.recheck_us)
+
+    def _idle_at_us(self, limits: StreamLimits) -> int:
+        """Return when the engine has been idle for too long, unless another event arrives."""
+        return self.last_event_at_us + limits.max_idle_us
--- a/tuliptrack/node/attempt_call.py
+++ b/tuliptrack/node/attempt_call.py
@@ -28,6 +28,9 @@
     def mark_doubtful(self) -> None:
         """Treat the attempt's connection and host, silent for too long, as unreliable until they answer."""
 
+    def has_unread(self) -> bool:
+        """Return whether output of the engine waits to be read, because the attempt is paused."""
+
     def pause(self) -> None:
         """Stop reading the answer until `resume` is called."""
 
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -1,12 +1,12 @@
 """The core of every node: turns client requests into router events, and router actions into attempts.
 
 It makes no routing decisions and depends on no protocol. Fronts call it through `fronts/port.py`; engines are
-reached through `node/port.py`. `Core` assembles the parts and handles what involves several of them: a slow
-client pauses its own stream and nothing else, and a request is removed once it has its final state and no
-attempt is in flight.
+reached through `node/port.py`. `Core` assembles the parts and handles what involves several of them: a
+request is removed once it has its final state and no attempt is in flight.
 
 The parts: `event_dispatch.py` (events in, actions out), `attempt_start.py`, `attempt_end.py`,
-`final_answers.py`, `kv_state_leases.py`, `request_log.py`, and `core_state.py` for the state that they share.
+`final_answers.py`, `kv_state_leases.py`, `stream_monitor.py` (a slow client pauses its own stream and nothing
+else), `request_log.py`, and `core_state.py` for the state that they share.
 """
 
 from __future__ import annotations
@@ -29,6 +29,7 @@
 from tuliptrack.node.request_reader import CoreLimits
 from tuliptrack.node.request_state import RequestState
 from tuliptrack.node.requests import Attempt, KvStateLocation, RequestRecord
+from tuliptrack.node.stream_monitor import StreamMonitor
 from tuliptrack.routing.router import Router
 
 __all__ = ["Core", "RequestHandle"]
@@ -54,7 +55,7 @@
 
     def writable(self) -> None:
         """Report that the client has read the output that was waiting for it."""
-        self.core.client_can_receive(self.record)
+        self.core.streams.client_can_receive(self.record)
 
 
 class Core(CoreState):
@@ -73,6 +74,7 @@
         self.answers = FinalAnswers(self)
         self.attempt_starter = AttemptStarter(self)
         self.attempt_ends = AttemptEndHandler(self, self.answers)
+        self.streams = StreamMonitor(self, self.answers)
         self.dispatcher = EventDispatcher(self, self.answers.fail_after_internal_error)
         self.action_handlers = self.dispatcher.action_handlers
         self._install_action_handlers()
@@ -112,6 +114,7 @@
         if not self.table.remove_if_finished(record):
             return
         self.timers.cancel(record.deadline_timer)
+        self.streams.stop(record)
         now_us = self.now()
         self.leases.release_all(record)
         self.counters.add(f"requests_{record.state.value}")
@@ -201,13 +204,6 @@
             # A stream that nobody reads is cancelled whatever the settings say.
             self.answers.end_request(record, must_cancel=was_streaming)
 
-    def client_can_receive(self, record: RequestRecord) -> None:
-        """Resume the stream of a client that has read the output that was waiting for it."""
-        if record.paused_at_us and record.attempt and record.attempt.call:
-            record.paused_at_us = 0
-            record.last_output_at_us = self.now()
-            record.attempt.call.resume()
-
     # Called by engine clients.
 
     def may_still_begin(self, record: RequestRecord, endpoint_id: int) -> bool:
@@ -227,10 +223,11 @@
         self.leases.start(record, kv_state)
 
     def output_arrived(self, record: RequestRecord, attempt: Attempt) -> bool:
-        """Handle a part of the answer; return whether to forward it. The first part begins the stream."""
+        """Handle output of an engine; return whether to forward it. The first output begins the stream."""
         if record.attempt is not attempt or record.is_concluded:
             return False
-        now_us = record.last_output_at_us = self.now()
+        now_us = self.now()
+        self.streams.output_arrived(record, now_us)
         if record.state is RequestState.DECODING:
             self._begin_stream(record, attempt, now_us)
         return record.state is RequestState.STREAMING
@@ -247,9 +244,7 @@
 
     def output_forwarded(self, record: RequestRecord, attempt: Attempt, may_continue: bool) -> None:
         """Pause the attempt if the front, after this part of the answer, accepts no more for now."""
-        if not may_continue and attempt.call and record.attempt is attempt:
-            record.paused_at_us = record.paused_at_us or self.now()
-            attempt.call.pause()
+        self.streams.output_forwarded(record, attempt, may_continue)
 
     def reservation_answered(
         self, record: RequestRecord, attempt: Attempt, endpoint_id: int, is_reserved: bool
@@ -289,26 +284,12 @@
             record.reserved_endpoint_id = action.endpoint_id
             self.engines.reserve(action.endpoint_id, record, record.attempt)
 
-    # Counters, sweeps and shutdown.
+    # Counters and shutdown.
 
     def counter_values(self) -> dict[str, int]:
         """Return the counters since the start, by name."""
         return self.counters.as_dict()
 
-    def sweep(self) -> None:
-        """End stalled streams; to be called several times a second."""
-        now_us = self.now()
-        for record in list(self.table.open.values()):
-            if record.state is not RequestState.STREAMING:
-                continue
-            if record.paused_at_us:
-                if now_us - record.paused_at_us > self.limits.max_client_stall_us:
-                    reason = "the client leaves its answer unread"
-                    self.answers.break_stream(record, Failure.STALLED, reason, io.Status.CANCELLED)
-            elif now_us - record.last_output_at_us > self.limits.max_token_silence_us:
-                reason = "the engine fell silent mid-stream"
-                self.answers.break_stream(record, Failure.BROKEN, reason, io.Status.RESET)
-
     def conclude_open_requests(self, accepted_since_us: int = 0) -> None:
         """Give open requests their final answers, once the grace period of the drain is over.
 
--- a/tuliptrack/node/grpc_engine_client.py
+++ b/tuliptrack/node/grpc_engine_client.py
@@ -66,6 +66,10 @@
     def mark_doubtful(self) -> None:
         """Do nothing: the connection itself detects that it is silent (`rpc/arrival.py`)."""
 
+    def has_unread(self) -> bool:
+        """Return whether the call is paused: the engine may have filled the stream window meanwhile."""
+        return self.call.paused
+
     def pause(self) -> None:
         """Stop reading the engine's stream."""
         self.call.pause()
--- a/tuliptrack/node/node.py
+++ b/tuliptrack/node/node.py
@@ -19,6 +19,7 @@
 from tuliptrack.config.node import EngineOptions, NodeConfig, NodeLimits
 from tuliptrack.decisions.concurrency_limit import ByteBudget, ConcurrencyLimits
 from tuliptrack.decisions.model_catalog import Model
+from tuliptrack.decisions.stream_idle import StreamLimits
 from tuliptrack.fronts import health, reflection
 from tuliptrack.fronts.installed import FRONTS, LISTENERS
 from tuliptrack.fronts.port import ClientRequest
@@ -196,7 +197,6 @@
         await run_periodically("sweep", SWEEP_INTERVAL_S, self._sweep_once, self.record_fault)
 
     async def _sweep_once(self) -> None:
-        self.sweep()
         self.channels.close_idle()
         now = now_us()
         if now - self._interval_closed_at_us > self.config.zones.report_interval:
@@ -298,8 +298,7 @@
         limits.tokens,
         limits.bytes_per_token,
         limits.answer_ahead,
-        limits.client_stall,
-        engines.token_silence,
+        StreamLimits(max_idle_us=engines.token_silence, max_client_stall_us=limits.client_stall),
     )
 
 
--- a/tuliptrack/node/request_reader.py
+++ b/tuliptrack/node/request_reader.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import xxhash
 
 from tuliptrack import interface as io
+from tuliptrack.decisions.stream_idle import StreamLimits
 from tuliptrack.fronts.port import ClientRequest, InvalidRequestError
 
 __all__ = ["CoreLimits", "RequestReader", "key"]
@@ -45,10 +46,7 @@
     """Bytes per token for the estimate of a prompt's tokens if the client does not state their number."""
     answer_lead_us: int = 50_000
     """Minimum time from the sending of an answer to the client's deadline."""
-    max_client_stall_us: int = 30_000_000
-    """Maximum time for which a client may leave its answer unread."""
-    max_token_silence_us: int = 15_000_000
-    """Maximum time for which a stream that has begun may produce no output."""
+    streams: StreamLimits = field(default_factory=StreamLimits)
 
 
 class RequestReader:
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -14,6 +14,7 @@
 
 from tuliptrack.decisions.billing import TokenPrice
 from tuliptrack.decisions.model_catalog import Model
+from tuliptrack.decisions.stream_idle import StreamActivity
 from tuliptrack.fronts.port import ClientRequest, FinishReason, ResponseWriter
 from tuliptrack.interface import CrossZoneCause
 from tuliptrack.node.attempt_call import AttemptCall
@@ -123,10 +124,10 @@
     cached_tokens: int = 0
     finish_reason: FinishReason | None = None
     first_token_at_us: int = 0
-    last_output_at_us: int = 0
-    """The time at which the last part of the answer arrived."""
-    paused_at_us: int = 0
-    """The time at which the client stopped reading; 0 while it reads."""
+    stream: StreamActivity = field(default_factory=StreamActivity)
+    """What has happened to the answer."""
+    stream_timer: asyncio.TimerHandle | None = None
+    """The timer of the next check of the answer; None before its first output."""
     reason: str = ""
     """The reason for the request's final state, for the log."""
     trace: RequestTrace = field(init=False)
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -109,6 +109,10 @@
         """Rely on neither the attempt's connection nor its engine until they send something."""
         self.exchange.doubt()
 
+    def has_unread(self) -> bool:
+        """Return whether the kernel holds bytes of the answer."""
+        return self.exchange.has_unread()
+
     def pause(self) -> None:
         """Read no more of the answer for now."""
         self.exchange.pause()
@@ -134,6 +138,8 @@
                 self._is_rejected = True
 
     def _handle_data(self, data: bytes) -> None:
+        if self._record.attempt is self._attempt:
+            self._record.stream.bytes_arrived(self._core.now())
         if self._is_stream:
             self._handle_events(data)
             return
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -12,6 +12,7 @@
 import structlog
 
 from tuliptrack.decisions.concurrency_limit import ConcurrencyLimits
+from tuliptrack.decisions.stream_idle import StreamLimits
 from tuliptrack.interface import EndpointListUpdate, UpdateKind
 from tuliptrack.node.core import Core
 from tuliptrack.node.logs import lines_lost
@@ -40,14 +41,14 @@
 
 log = structlog.get_logger("relay")
 SWEEP_INTERVAL_S = 0.25
-"""Interval between checks for silent streams, stalled clients and idle connections."""
+"""Interval between checks for idle connections."""
 LISTEN_RETRY_S = 5.0
 """Time for which listening is retried if the address is not available yet."""
 READY_WITHOUT_LIST_AFTER_S = 2.0
 """Time for which a node that knows no engines waits for a list before it reports that it is ready anyway."""
-TOKEN_SILENCE_US = 4_000_000
-"""Longest silence of a stream before the node ends it. The platform allows that a client waits for up to 5 s
-on a stream that has stopped."""
+MAX_STREAM_IDLE_US = 4_000_000
+"""Time after the last event of a stream at which the node ends it. The platform allows that a client waits
+for up to 5 s on a stream that has stopped."""
 RESERVED_DESCRIPTORS = 8 + ACCEPTED_AT_ONCE + MAX_CONNECTIONS
 """Number of descriptors that serve neither clients nor engines: log and standard streams (3), listener,
 selector and its wake-up (2), the settings file, one that an import may need; connections accepted but not
@@ -80,7 +81,7 @@
             config.settings,
             config.seed or random.getrandbits(63),
             config.name,
-            CoreLimits(answer_lead_us=ANSWER_LEAD_US, max_token_silence_us=TOKEN_SILENCE_US),
+            CoreLimits(answer_lead_us=ANSWER_LEAD_US, streams=StreamLimits(max_idle_us=MAX_STREAM_IDLE_US)),
             ConcurrencyLimits(min(config.max_open_requests, max_clients), max_clients, 1),
         )
         self.memory = MemoryPlan.of(config.memory_bytes, max_clients, max_engines, MAX_BODY_BYTES)
@@ -258,11 +259,7 @@
             log.warning("endpoint list rejected", reason=reason)
 
     async def _sweep_regularly(self) -> None:
-        def sweep() -> None:
-            self.sweep()
-            self.pools.sweep()
-
-        await run_periodically("sweep", SWEEP_INTERVAL_S, sweep, self.record_fault)
+        await run_periodically("sweep", SWEEP_INTERVAL_S, self.pools.sweep, self.record_fault)
 
 
 def _engine_pools(config: RelayConfig, max_connections: int, memory: MemoryPlan) -> EnginePools:
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -14,7 +14,7 @@
 from tuliptrack.rpc.h1 import BodyPart, ClientSide, ProtocolError, ResponseEnd, ResponseHead
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
 from tuliptrack.rpc.input_scheduler import EVENT_BYTES_PER_UNIT, FIELDS_PER_UNIT, QUANTUM, InputScheduler
-from tuliptrack.rpc.tcp import is_closed_by_peer, is_established, set_nodelay
+from tuliptrack.rpc.tcp import has_unread, is_closed_by_peer, is_established, set_nodelay
 
 __all__ = ["ClientConnection", "ClientOptions", "Owner"]
 
@@ -235,6 +235,10 @@
         """
         return self.transport.is_closing() or is_closed_by_peer(self.transport)
 
+    def has_unread(self) -> bool:
+        """Whether bytes were received that are not processed yet."""
+        return self.has_input() or has_unread(self.transport)
+
     def pause(self) -> None:
         self._is_held = True
         self._update_reading()
--- a/tuliptrack/rpc/http1_exchange.py
+++ b/tuliptrack/rpc/http1_exchange.py
@@ -42,6 +42,9 @@
 
     def resume(self) -> None: ...
 
+    def has_unread(self) -> bool:
+        """Whether bytes were received that are not read yet."""
+
     def doubt(self, since: float) -> None:
         """Note that an answer is overdue: nothing was received since `since`, on the loop's clock."""
 
@@ -133,6 +136,10 @@
         if self.carrier and self.sent and not self.heard:
             self.carrier.doubt(self.sent_at)
 
+    def has_unread(self) -> bool:
+        """Whether bytes of the answer were received that are not read yet."""
+        return self.carrier is not None and self.carrier.has_unread()
+
     def pause(self) -> None:
         """Stop reading the answer until `resume`."""
         self.paused = True
