What is no event keeps no stream open and begins no answer

Callers: a client was left waiting for as long as a hung engine sent blocks without data, such as `event: ping`, `id: 7`, `retry: 100` or `data:` without a value.

Cause: any block that was forwarded counted as output, restarted the clock of the silence, and as the first output of an answer stopped the client's deadline. Evidence: tests/relay/test_stream_idle_timeout.py, a node process on loopback, non-events every 0.5 s for 10 s.

Why it works: the parser counts events, a block with data by the HTML standard that is not empty, and the idle time is restarted by these alone, for every front in decisions/stream_idle.py. Blocks before the first event are forwarded with it, so that nothing but an event can begin an answer; they count towards the limit of an event.

--- a/tests/relay/test_event_stream.py
+++ b/tests/relay/test_event_stream.py
@@ -135,6 +135,18 @@
     assert got == b"data: 1\n\n" + FINAL_EVENT and stream.is_complete
 
 
+# Guards against an answer that begins, or goes on for ever, by what an engine sends to keep a connection alive.
+@pytest.mark.parametrize("size", [0, 1, 2])
+def test_blocks_without_data_are_no_events_and_follow_the_first_one(size: int) -> None:
+    keep_alive = b"event: ping\r\n\r\nretry: 100\n\nid: 7\r\rdata:\n\ndata:  \r\n\r\n"
+    stream, got = forwarded(keep_alive, size)
+    assert got == b"" and stream.event_count == 0
+    assert stream.feed(b"data: 1\n\n") == keep_alive + b"data: 1\n\n" and stream.event_count == 1
+    assert stream.feed(keep_alive) == keep_alive and stream.event_count == 1
+    with pytest.raises(MalformedStreamError):
+        new_stream().feed(keep_alive * MAX_EVENT_BYTES)
+
+
 def test_usage_in_several_data_lines_is_read() -> None:
     usages: list[StreamUsage] = []
     lines = USAGE.removeprefix(b"data: ").strip().replace(b", ", b",\ndata: ")
--- /dev/null
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -0,0 +1,225 @@
+"""When a node process ends a stream whose engine no longer writes events, and when it must not.
+
+The platform lets a client wait 5 s after the last event of a running engine. It counts as lost a stream that is
+cut off while its events still come.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from relay_harness import (
+    SETTINGS,
+    STREAM_HEAD,
+    TOKEN_EVENTS,
+    ReceivedRequest,
+    Reply,
+    answer_prefill,
+    chunk,
+    platform,
+    read_reply,
+    request,
+)
+from relay_process import Node, start_node
+from world import run
+
+MAX_WAIT_S = 5.05
+"""Time after an engine's last event within which its client must be let go."""
+SOUND_GAP_S = 4.5
+"""Time between two events that a stream must survive."""
+NON_EVENT_PERIOD_S = 0.5
+NON_EVENT_COUNT = 20
+
+Write = Callable[[bytes], None]
+Answer = Callable[["Stream", Write], Awaitable[None]]
+
+
+def now() -> float:
+    return asyncio.get_running_loop().time()
+
+
+async def read_at_once(reader: asyncio.StreamReader) -> Reply:
+    return await read_reply(reader)
+
+
+def rest_before_reading(seconds: float) -> Callable[[asyncio.StreamReader], Awaitable[Reply]]:
+    async def read(reader: asyncio.StreamReader) -> Reply:
+        await asyncio.sleep(seconds)
+        return await read_reply(reader)
+
+    return read
+
+
+@dataclass
+class Stream:
+    """One stream of an engine, and what its client got."""
+
+    answer: Answer
+    read: Callable[[asyncio.StreamReader], Awaitable[Reply]] = read_at_once
+    budget: str = "4.8"
+    last_event_at: float = 0.0
+    """When the engine wrote its last event, as the engine sets it."""
+    ended_at: float = 0.0
+    reply: Reply | None = None
+
+    @property
+    def waited_s(self) -> float:
+        """The time from the engine's last event to the end of the client's connection."""
+        return self.ended_at - self.last_event_at
+
+
+def then(*steps: Answer) -> Answer:
+    async def answer(stream: Stream, write: Write) -> None:
+        for step in steps:
+            await step(stream, write)
+
+    return answer
+
+
+def events(*data: bytes) -> Answer:
+    """Write events, and note the time of the last."""
+
+    async def answer(stream: Stream, write: Write) -> None:
+        for event in data:
+            write(event)
+        stream.last_event_at = now()
+
+    return answer
+
+
+def wait(seconds: float) -> Answer:
+    async def answer(stream: Stream, write: Write) -> None:
+        await asyncio.sleep(seconds)
+
+    return answer
+
+
+def repeat(data: bytes, count: int = NON_EVENT_COUNT, period_s: float = NON_EVENT_PERIOD_S) -> Answer:
+    """Write the same bytes, which are no event, again and again."""
+
+    async def answer(stream: Stream, write: Write) -> None:
+        for _ in range(count):
+            await asyncio.sleep(period_s)
+            write(data)
+
+    return answer
+
+
+async def stay_silent(stream: Stream, write: Write) -> None:
+    await asyncio.Event().wait()
+
+
+def spell(data: bytes, seconds: float) -> Answer:
+    """Write one event over some time, in pieces, and note when it is complete."""
+
+    async def answer(stream: Stream, write: Write) -> None:
+        size = max(len(data) // 30, 1)
+        pieces = [data[start : start + size] for start in range(0, len(data), size)]
+        for piece in pieces:
+            write(piece)
+            await asyncio.sleep(seconds / len(pieces))
+        stream.last_event_at = now()
+
+    return answer
+
+
+async def play(tmp_path: Path, streams: dict[str, Stream], **specifics: bool) -> list[str]:
+    """Play streams at the same time, over one node process and one decode engine; return the node's log."""
+
+    async def decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+        if received.method == "DELETE":
+            await answer_prefill(received, writer)
+            return
+        stream = streams[received.call_id]
+        writer.write(STREAM_HEAD)
+        await stream.answer(stream, lambda data: writer.write(chunk(data)))
+        writer.write(b"0\r\n\r\n")
+
+    async def ask(node: Node, call_id: str, stream: Stream) -> None:
+        host, _, port = node.address.rpartition(":")
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)  # A client that rests is felt at once.
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+        reader, writer = await asyncio.open_connection(sock=sock, limit=4_096)
+        writer.write(request(call_id, budget=stream.budget))
+        stream.reply = await stream.read(reader)
+        stream.ended_at = now()
+        writer.close()
+
+    async with platform({}, r0=answer_prefill, w0=decode) as p:
+        node = await start_node(
+            p.agent.address,
+            tmp_path / "node.json",
+            settings={
+                **SETTINGS,
+                "classes": [{**SETTINGS["classes"][0], "promise": 600_000_000}],
+                "specifics": {**SETTINGS["specifics"], "resume": False, **specifics},
+            },
+            known={"revision": 1, "complete": True, "members": p.members()},
+        )
+        try:
+            asks = [ask(node, call_id, stream) for call_id, stream in streams.items()]
+            await asyncio.wait_for(asyncio.gather(*asks), 40)
+        finally:
+            await node.kill()
+    return node.log
+
+
+def check_let_go(streams: dict[str, Stream], at_most_s: float = MAX_WAIT_S) -> None:
+    """Check that each stream was ended, as incomplete, no later than allowed."""
+    waited = {name: round(stream.waited_s, 2) for name, stream in streams.items()}
+    for name, stream in streams.items():
+        assert stream.reply and stream.reply.status == 200 and not stream.reply.is_complete, name
+        assert stream.waited_s <= at_most_s, waited
+
+
+def check_complete(streams: dict[str, Stream], body: bytes) -> None:
+    for name, stream in streams.items():
+        assert stream.reply and stream.reply.is_complete and stream.reply.body == body, (name, stream.reply)
+
+
+NON_EVENTS = {
+    "comment": b": ping\n\n",
+    "blank lines": b"\n\n",
+    "event field": b"event: ping\n\n",
+    "id field": b"id: 7\n\n",
+    "retry field": b"retry: 100\n\n",
+    "empty data": b"data:\n\n",
+    "start of an event": b"event: ping\n",
+}
+
+
+# Guards against a client that waits for as long as its engine writes something, though no event.
+def test_what_is_no_event_does_not_keep_a_stream_open(tmp_path: Path) -> None:
+    streams = {
+        name.replace(" ", "-"): Stream(then(events(*TOKEN_EVENTS), repeat(data), stay_silent))
+        for name, data in NON_EVENTS.items()
+    }
+    log: list[str] = []
+
+    async def go() -> None:
+        log.extend(await play(tmp_path, streams))
+
+    run(go, 60)
+    check_let_go(streams)
+    line = next(line for line in log if "call_id=event-field " in line)
+    event_age_ms, output_age_ms = (
+        float(line.split(f"{name}=")[1].split()[0]) for name in ("event_age_ms", "output_age_ms")
+    )
+    assert output_age_ms <= 1_000 * NON_EVENT_PERIOD_S + 100 < event_age_ms, line
+
+
+# Guards against an answer that begins with no event: its client would have no deadline any more.
+def test_what_is_no_event_does_not_begin_an_answer(tmp_path: Path) -> None:
+    streams = {
+        "event-field": Stream(then(repeat(b"event: ping\n\n", period_s=0.1), stay_silent), budget="1.0"),
+        "empty-data": Stream(then(repeat(b"data:\n\n", period_s=0.1), stay_silent), budget="1.0"),
+    }
+    run(lambda: play(tmp_path, streams), 60)
+    for name, stream in streams.items():
+        assert stream.reply and stream.reply.status == 504, (name, stream.reply)
--- a/tuliptrack/decisions/stream_idle.py
+++ b/tuliptrack/decisions/stream_idle.py
@@ -1,7 +1,10 @@
 """Decides when a stream whose answer has begun is ended, because its engine or its client has stopped.
 
-`StreamActivity` is the only place that says which output counts, and from when the idle time runs. All times
-are monotonic microseconds.
+Fronts and engine clients report what happens to a stream; `StreamActivity` is the only place that says which
+output counts, and from when the idle time runs. All times are monotonic microseconds.
+
+Only events count: output that carries a part of the answer. An engine that hangs may send comments, fields
+without data or the pieces of an event for ever, and its client would wait as long.
 """
 
 from __future__ import annotations
@@ -9,7 +12,16 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["StreamActivity", "StreamLimits", "StreamVerdict"]
+__all__ = ["OutputKind", "StreamActivity", "StreamLimits", "StreamVerdict"]
+
+
+class OutputKind(Enum):
+    """What a part of an engine's output is, with regard to the idle time."""
+
+    EVENT = "event"
+    """It holds a part of the answer."""
+    NO_EVENT = "no event"
+    """It is forwarded, but holds no part of the answer."""
 
 
 class StreamVerdict(Enum):
@@ -49,11 +61,12 @@
         """Note that the engine sent anything at all."""
         self.last_byte_at_us = max(self.last_byte_at_us, arrived_at_us)
 
-    def output_arrived(self, arrived_at_us: int) -> None:
+    def output_arrived(self, kind: OutputKind, arrived_at_us: int) -> None:
         """Note output for the client."""
         self.bytes_arrived(arrived_at_us)
         self.last_output_at_us = max(self.last_output_at_us, arrived_at_us)
-        self.last_event_at_us = max(self.last_event_at_us, arrived_at_us)
+        if kind is OutputKind.EVENT:
+            self.last_event_at_us = max(self.last_event_at_us, arrived_at_us)
 
     def pause(self, now_us: int) -> None:
         """Note that the client accepts no more for now."""
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -17,6 +17,7 @@
 
 from tuliptrack import interface as io
 from tuliptrack.decisions.concurrency_limit import ConcurrencyLimits, ExceededLimit
+from tuliptrack.decisions.stream_idle import OutputKind
 from tuliptrack.fronts.port import ClientRequest, Failure, ResponseWriter
 from tuliptrack.node.admission import AdmissionDecision
 from tuliptrack.node.attempt_end import AttemptEndHandler
@@ -222,12 +223,14 @@
         record.trace.add(self.now(), f"KV state at {kv_state.endpoint_id}")
         self.leases.start(record, kv_state)
 
-    def output_arrived(self, record: RequestRecord, attempt: Attempt) -> bool:
+    def output_arrived(
+        self, record: RequestRecord, attempt: Attempt, kind: OutputKind = OutputKind.EVENT
+    ) -> bool:
         """Handle output of an engine; return whether to forward it. The first output begins the stream."""
         if record.attempt is not attempt or record.is_concluded:
             return False
         now_us = self.now()
-        self.streams.output_arrived(record, now_us)
+        self.streams.output_arrived(record, kind, now_us)
         if record.state is RequestState.DECODING:
             self._begin_stream(record, attempt, now_us)
         return record.state is RequestState.STREAMING
--- a/tuliptrack/node/stream_monitor.py
+++ b/tuliptrack/node/stream_monitor.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from tuliptrack import interface as io
-from tuliptrack.decisions.stream_idle import StreamVerdict
+from tuliptrack.decisions.stream_idle import OutputKind, StreamVerdict
 from tuliptrack.fronts.port import Failure
 from tuliptrack.node.core_state import CoreState
 from tuliptrack.node.final_answers import FinalAnswers
@@ -29,9 +29,9 @@
         self._core = core
         self._answers = answers
 
-    def output_arrived(self, record: RequestRecord, arrived_at_us: int) -> None:
+    def output_arrived(self, record: RequestRecord, kind: OutputKind, arrived_at_us: int) -> None:
         """Note output of the request's attempt. The first output begins the watch."""
-        record.stream.output_arrived(arrived_at_us)
+        record.stream.output_arrived(kind, arrived_at_us)
         if record.stream_timer is None:
             self._schedule_check(record)
 
--- a/tuliptrack/relay/event_stream.py
+++ b/tuliptrack/relay/event_stream.py
@@ -14,6 +14,8 @@
 - Several `data` lines are one value, joined by LF.
 - A blank line ends the block of an event. Further blank lines, and those after a comment alone, end nothing
   and are not forwarded.
+- A block whose data is empty is no event: engines keep a connection alive by it. It is forwarded, but not
+  before the first event, since the first output begins the answer.
 - What follows the last blank line when the stream ends is no event, except for a comment.
 
 A block without any of the four fields is malformed, though the standard would ignore it: an engine that sends
@@ -68,6 +70,8 @@
     """It belongs to the block being received."""
     FORWARDED = auto()
     """It was forwarded: it was the blank line that ended an event."""
+    HELD = auto()
+    """It was the blank line that ended a block before the first event."""
     DROPPED = auto()
     """It was a comment, or a blank line that ended no event."""
 
@@ -79,12 +83,14 @@
         "_block",
         "_data",
         "_has_event_field",
+        "_held",
         "_is_first_line",
         "_last_kind",
         "_line",
         "_may_line_feed_follow",
         "_record_usage",
         "_report_names",
+        "event_count",
         "has_last_event",
         "ignored_reports",
         "load_report",
@@ -104,6 +110,8 @@
         """The complete lines of an event that is not complete yet, with their endings, without comments."""
         self._data = bytearray()
         """The values of the block's `data` lines, each followed by a LF."""
+        self._held = bytearray()
+        """The blocks before the first event."""
         self._has_event_field = False
         """Whether the block has a field that the standard defines."""
         self._is_first_line = True
@@ -115,6 +123,8 @@
         """The last valid load report; empty before the first."""
         self.ignored_reports = 0
         """Number of load reports that could not be used."""
+        self.event_count = 0
+        """Number of events so far."""
         self.has_last_event = False
         """Whether the engine has sent the event that marks the end of the stream."""
 
@@ -143,7 +153,7 @@
                 line, self._line = bytes(self._line) + line, bytearray()
             self._read_line(line, events)
         self._may_line_feed_follow = not self._line and data.endswith(_CARRIAGE_RETURN)
-        if len(self._line) + len(self._block) > MAX_EVENT_BYTES:
+        if len(self._line) + len(self._block) + len(self._held) > MAX_EVENT_BYTES:
             raise MalformedStreamError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         return bytes(events)
 
@@ -153,6 +163,8 @@
             self._block += _LINE_FEED
         elif self._last_kind is _LineKind.FORWARDED:
             events += _LINE_FEED
+        elif self._last_kind is _LineKind.HELD:
+            self._held += _LINE_FEED
 
     def _read_line(self, line: bytes, events: bytearray) -> None:
         """Read a line with its ending; add the event that it ends to `events`."""
@@ -168,11 +180,14 @@
             self._block += line
             self._read_field(text)
         elif self._block:
-            self._last_kind = _LineKind.FORWARDED
-            self._read_event()
-            events += self._block
-            events += line
+            self._read_block()
+            self._held += self._block
+            self._held += line
             self._block.clear()
+            self._last_kind = _LineKind.FORWARDED if self.event_count else _LineKind.HELD
+            if self.event_count:
+                events += self._held
+                self._held.clear()
         else:
             self._last_kind = _LineKind.DROPPED
 
@@ -182,11 +197,13 @@
         if name == _DATA_FIELD:
             self._data += value.removeprefix(b" ") + _LINE_FEED
 
-    def _read_event(self) -> None:
-        """Read the event whose block is complete."""
+    def _read_block(self) -> None:
+        """Read the block that is complete."""
         if not self._has_event_field:
             raise MalformedStreamError("malformed event")
-        self._read_data(bytes(self._data).strip())
+        if data := bytes(self._data).strip():
+            self.event_count += 1
+            self._read_data(data)
         self._data.clear()
         self._has_event_field = False
 
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from tuliptrack.decisions.stream_idle import OutputKind
 from tuliptrack.fronts.port import FinishReason, RawResponseWriter
 from tuliptrack.interface import Status
 from tuliptrack.node.attempt_state import Delivery
@@ -148,14 +149,16 @@
             self._fail(f"an answer of more than {MAX_BODY_BYTES} bytes")
 
     def _handle_events(self, data: bytes) -> None:
+        known_events = self._stream.event_count
         try:
-            events = self._stream.feed(data)
+            output = self._stream.feed(data)
         except MalformedStreamError as error:
             self._fail(str(error))
             return
-        if not events or not self._core.output_arrived(self._record, self._attempt):
+        kind = OutputKind.EVENT if self._stream.event_count > known_events else OutputKind.NO_EVENT
+        if not output or not self._core.output_arrived(self._record, self._attempt, kind):
             return
-        is_accepted = cast(RawResponseWriter, self._record.response).events(events)
+        is_accepted = cast(RawResponseWriter, self._record.response).events(output)
         self._core.output_forwarded(self._record, self._attempt, is_accepted)
 
     def _fail(self, reason: str) -> None:
