What follows the end marker keeps no stream open

Callers: a client was left waiting for the end of an answer that was over, for as long as its engine sent further events, or the end marker again, in place of the last chunk.

Cause: the clock of the silence was restarted by output after `data: [DONE]`. The gRPC node, whose clients get no token after the last, marks that one likewise.

--- a/tests/decisions/test_stream_idle.py
+++ b/tests/decisions/test_stream_idle.py
@@ -34,3 +34,12 @@
     assert stream.verdict(32 * S - 1, LIMITS) is StreamVerdict.CONTINUES
     assert stream.verdict(32 * S, LIMITS) is StreamVerdict.CLIENT_STALLED
     assert (stream.pause_count, stream.paused_us(12 * S)) == (1, 10 * S)
+
+
+# Guards against a stream that is over but for its end, and that its engine keeps open by further events.
+def test_nothing_after_the_end_marker_restarts_the_idle_time() -> None:
+    stream = begun()
+    stream.output_arrived(OutputKind.LAST_EVENT, 2 * S)
+    stream.output_arrived(OutputKind.EVENT, 5 * S)
+    stream.output_arrived(OutputKind.LAST_EVENT, 5 * S)
+    assert stream.verdict(6 * S, LIMITS) is StreamVerdict.ENGINE_IDLE
--- a/tests/relay/test_stream_idle_timeout.py
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from relay_harness import (
+    FINAL_EVENTS,
     SETTINGS,
     STREAM_HEAD,
     TOKEN_EVENTS,
@@ -219,6 +220,18 @@
     assert output_age_ms <= 1_000 * NON_EVENT_PERIOD_S + 100 < event_age_ms, line
 
 
+# Guards against a client that waits for the end of a stream that is over but for its last chunk.
+def test_what_follows_the_end_marker_does_not_keep_a_stream_open(tmp_path: Path) -> None:
+    whole = events(*TOKEN_EVENTS, *FINAL_EVENTS)
+    streams = {
+        "silent": Stream(then(whole, stay_silent)),
+        "events": Stream(then(whole, repeat(TOKEN_EVENTS[0]), stay_silent)),
+        "marker": Stream(then(whole, repeat(FINAL_EVENTS[-1]), stay_silent)),
+    }
+    play(tmp_path, streams)
+    check_let_go(streams)
+
+
 # Guards against an answer that begins with no event: its client would have no deadline any more.
 def test_what_is_no_event_does_not_begin_an_answer(tmp_path: Path) -> None:
     streams = {
--- a/tuliptrack/decisions/stream_idle.py
+++ b/tuliptrack/decisions/stream_idle.py
@@ -3,8 +3,8 @@
 Fronts and engine clients report what happens to a stream; `StreamActivity` is the only place that says which
 output counts, and from when the idle time runs. All times are monotonic microseconds.
 
-Only events count: output that carries a part of the answer. An engine that hangs may send comments, fields
-without data or the pieces of an event for ever, and its client would wait as long.
+Only events count: output that carries a part of the answer, up to the end marker. An engine that hangs may send
+comments, fields without data or the pieces of an event for ever, and its client would wait as long.
 """
 
 from __future__ import annotations
@@ -20,6 +20,8 @@
 
     EVENT = "event"
     """It holds a part of the answer."""
+    LAST_EVENT = "last event"
+    """It holds the end marker: what follows is no part of the answer."""
     NO_EVENT = "no event"
     """It is forwarded, but holds no part of the answer."""
 
@@ -51,6 +53,8 @@
     last_event_at_us: int = 0
     last_output_at_us: int = 0
     last_byte_at_us: int = 0
+    is_over: bool = False
+    """Whether the end marker has arrived."""
     paused_at_us: int = 0
     """When the client stopped reading; 0 while it reads."""
     pause_count: int = 0
@@ -65,8 +69,10 @@
         """Note output for the client."""
         self.bytes_arrived(arrived_at_us)
         self.last_output_at_us = max(self.last_output_at_us, arrived_at_us)
-        if kind is OutputKind.EVENT:
-            self.last_event_at_us = max(self.last_event_at_us, arrived_at_us)
+        if kind is OutputKind.NO_EVENT or self.is_over:
+            return
+        self.is_over = kind is OutputKind.LAST_EVENT
+        self.last_event_at_us = max(self.last_event_at_us, arrived_at_us)
 
     def pause(self, now_us: int) -> None:
         """Note that the client accepts no more for now."""
--- a/tuliptrack/node/grpc_engine_client.py
+++ b/tuliptrack/node/grpc_engine_client.py
@@ -13,6 +13,7 @@
 from google.protobuf.message import DecodeError
 
 from tuliptrack import interface as io
+from tuliptrack.decisions.stream_idle import OutputKind
 from tuliptrack.fronts.port import FinishReason, Usage
 from tuliptrack.node.attempt_state import Delivery
 from tuliptrack.node.core import Core
@@ -167,7 +168,8 @@
             reason = f"token {message.index} came, {record.next_index} was to come"
             self._handle_engine_fault(record, attempt, reason)
             return
-        if self.core.output_arrived(record, attempt):
+        kind = OutputKind.LAST_EVENT if message.finish_reason else OutputKind.EVENT
+        if self.core.output_arrived(record, attempt, kind):
             self._forward_token(record, attempt, message)
 
     def _forward_token(
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -155,12 +155,18 @@
         except MalformedStreamError as error:
             self._fail(str(error))
             return
-        kind = OutputKind.EVENT if self._stream.event_count > known_events else OutputKind.NO_EVENT
+        kind = self._kind_of_output(known_events)
         if not output or not self._core.output_arrived(self._record, self._attempt, kind):
             return
         is_accepted = cast(RawResponseWriter, self._record.response).events(output)
         self._core.output_forwarded(self._record, self._attempt, is_accepted)
 
+    def _kind_of_output(self, known_events: int) -> OutputKind:
+        """Return what the output since the first `known_events` events holds."""
+        if self._stream.event_count == known_events:
+            return OutputKind.NO_EVENT
+        return OutputKind.LAST_EVENT if self._stream.has_last_event else OutputKind.EVENT
+
     def _fail(self, reason: str) -> None:
         """Cancel the attempt, whose answer is malformed."""
         log.warning("engine fault", request=self._record.id, server=self._attempt.endpoint_id, reason=reason)
