A pause of the client gives an engine that has stopped no more time

Callers: a client that read late or slowly waited longer for the end of a stream whose engine had stopped: by its whole rest, and then for the silence once more.

Why it works: the idle time runs from the arrival of the last event by the kernel's account (tcpi_last_data_recv, read as a pause ends; without it the time of the read, as before). A paused stream with nothing unread ends as any other.

--- a/tests/relay/test_stream_idle_timeout.py
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -34,6 +34,12 @@
 """Time between two events that a stream must survive."""
 NON_EVENT_PERIOD_S = 0.5
 NON_EVENT_COUNT = 20
+LARGE_EVENT = b'data: {"x":"' + b"y" * 16_000 + b'"}\n\n'
+LARGE_ANSWER = [LARGE_EVENT] * 13
+"""More than the buffers between an engine and a client that does not read, and less than an answer may have."""
+CATCH_UP_S = 0.5
+"""Time after a rest within which a client is let go if its engine has stopped meanwhile."""
+MARGIN_S = 0.3
 
 Write = Callable[[bytes], None]
 Answer = Callable[["Stream", Write], Awaitable[None]]
@@ -55,6 +61,22 @@
     return read
 
 
+async def read_slowly(reader: asyncio.StreamReader) -> Reply:
+    """Read about 60 kB a second."""
+    throttled = asyncio.StreamReader()
+
+    async def copy() -> None:
+        while data := await reader.read(3_000):
+            throttled.feed_data(data)
+            await asyncio.sleep(0.05)
+        throttled.feed_eof()
+
+    copying = asyncio.ensure_future(copy())
+    reply = await read_reply(throttled)
+    await copying
+    return reply
+
+
 @dataclass
 class Stream:
     """One stream of an engine, and what its client got."""
@@ -241,3 +263,18 @@
     play(tmp_path, streams)
     for name, stream in streams.items():
         assert stream.reply and stream.reply.status == 504, (name, stream.reply)
+
+
+# Guards against a client that waits longer because it rested: the pause must not restart the idle time.
+def test_a_client_that_reads_late_is_let_go_in_time(tmp_path: Path) -> None:
+    def large(read: Callable[[asyncio.StreamReader], Awaitable[Reply]]) -> Stream:
+        return Stream(then(events(*LARGE_ANSWER), stay_silent), read)
+
+    in_time = {f"rests-{rest_s}": large(rest_before_reading(rest_s)) for rest_s in (1, 2, 4)}
+    in_time["slow-reader"] = large(read_slowly)
+    too_late = {f"rests-{rest_s}": (rest_s, large(rest_before_reading(rest_s))) for rest_s in (6, 8)}
+    play(tmp_path, in_time | {name: stream for name, (_, stream) in too_late.items()})
+    check_let_go(in_time)
+    for rest_s, stream in too_late.values():
+        check_let_go({"rests": stream}, rest_s + CATCH_UP_S + MARGIN_S)
+        assert stream.reply and len(stream.reply.body) == len(b"".join(LARGE_ANSWER))
--- a/tests/rpc/test_arrival_times.py
+++ b/tests/rpc/test_arrival_times.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
-from tuliptrack.rpc.arrival_times import ArrivalTimes
+import asyncio
+
+from tuliptrack.rpc.arrival_times import ArrivalTimes, HeldUpInput
+from tuliptrack.rpc.clock import now_us
+from tuliptrack.rpc.tcp import last_arrival_us, unread_bytes
 
 
 def test_bytes_that_wait_behind_an_earlier_request_keep_their_dates() -> None:
@@ -44,3 +48,31 @@
     assert len(times._reads) < 100
     for left in range(99_999, -1, -1_000):
         assert times.of_processed(left, 100_000) <= 99_999 - left
+
+
+def test_input_that_was_held_up_is_dated_by_the_last_that_arrived() -> None:
+    held_up = HeldUpInput()
+    assert held_up.arrived_at_us(10) is None
+    held_up.reading_resumed(30, 5_000)
+    assert [held_up.arrived_at_us(size) for size in (20, 10, 10)] == [5_000, 5_000, None]
+    held_up.reading_resumed(10, 7_000)
+    assert [held_up.arrived_at_us(size) for size in (40, 40)] == [7_000, None]
+
+
+def test_the_kernel_knows_when_unread_bytes_arrived() -> None:
+    async def go() -> None:
+        accepted: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
+        server = await asyncio.start_server(lambda _, writer: accepted.put_nowait(writer), "127.0.0.1", 0)
+        _, writer = await asyncio.open_connection(*server.sockets[0].getsockname()[:2])
+        peer = await accepted.get()
+        writer.transport.pause_reading()  # type: ignore[attr-defined]
+        peer.write(b"x" * 100)
+        sent_at_us = now_us()
+        await asyncio.sleep(0.3)
+        assert unread_bytes(writer.transport) == 100
+        assert abs(last_arrival_us(writer.transport) - sent_at_us) < 100_000
+        for end in (writer, peer):
+            end.close()
+        server.close()
+
+    asyncio.run(go())
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -224,13 +224,24 @@
         self.leases.start(record, kv_state)
 
     def output_arrived(
-        self, record: RequestRecord, attempt: Attempt, kind: OutputKind = OutputKind.EVENT
+        self,
+        record: RequestRecord,
+        attempt: Attempt,
+        kind: OutputKind = OutputKind.EVENT,
+        arrived_at_us: int | None = None,
     ) -> bool:
-        """Handle output of an engine; return whether to forward it. The first output begins the stream."""
+        """Handle output of an engine; return whether to forward it. The first output begins the stream.
+
+        Args:
+            record: the request.
+            attempt: the attempt that the output belongs to.
+            kind: what the output holds.
+            arrived_at_us: when it arrived at this machine; None for now.
+        """
         if record.attempt is not attempt or record.is_concluded:
             return False
         now_us = self.now()
-        self.streams.output_arrived(record, kind, now_us)
+        self.streams.output_arrived(record, kind, now_us if arrived_at_us is None else arrived_at_us)
         if record.state is RequestState.DECODING:
             self._begin_stream(record, attempt, now_us)
         return record.state is RequestState.STREAMING
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -140,7 +140,7 @@
 
     def _handle_data(self, data: bytes) -> None:
         if self._record.attempt is self._attempt:
-            self._record.stream.bytes_arrived(self._core.now())
+            self._record.stream.bytes_arrived(self.exchange.arrived_at_us)
         if self._is_stream:
             self._handle_events(data)
             return
@@ -156,7 +156,8 @@
             self._fail(str(error))
             return
         kind = self._kind_of_output(known_events)
-        if not output or not self._core.output_arrived(self._record, self._attempt, kind):
+        arrived_at_us = self.exchange.arrived_at_us
+        if not output or not self._core.output_arrived(self._record, self._attempt, kind, arrived_at_us):
             return
         is_accepted = cast(RawResponseWriter, self._record.response).events(output)
         self._core.output_forwarded(self._record, self._attempt, is_accepted)
--- a/tuliptrack/rpc/arrival_times.py
+++ b/tuliptrack/rpc/arrival_times.py
@@ -13,7 +13,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-__all__ = ["ArrivalTimes"]
+__all__ = ["ArrivalTimes", "HeldUpInput"]
 
 _MAX_READS = 16
 """Reads that are dated separately; later ones share the date of the last one, which is then too early."""
@@ -64,3 +64,27 @@
         while self._reads and self._reads[0].end < position:
             self._reads.popleft()
         return self._reads[0].arrived_at_us if self._reads else now_us
+
+
+class HeldUpInput:
+    """The arrival time of what a connection received while it was not read, in monotonic microseconds.
+
+    `ArrivalTimes` dates such bytes too early if in doubt, this class too late: by the last that arrived.
+    """
+
+    __slots__ = ("_arrived_at_us", "_unread_bytes")
+
+    def __init__(self) -> None:
+        self._unread_bytes = 0
+        self._arrived_at_us = 0
+
+    def reading_resumed(self, unread_bytes: int, last_arrival_us: int) -> None:
+        """Note that the connection is read again; the latest of its unread bytes arrived at `last_arrival_us`."""
+        self._unread_bytes, self._arrived_at_us = unread_bytes, last_arrival_us
+
+    def arrived_at_us(self, size: int) -> int | None:
+        """Return when the next `size` bytes arrived by the latest; None if they were not held up."""
+        if self._unread_bytes <= 0:
+            return None
+        self._unread_bytes -= size
+        return self._arrived_at_us
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -11,10 +11,18 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from tuliptrack.rpc.arrival_times import HeldUpInput
 from tuliptrack.rpc.h1 import BodyPart, ClientSide, ProtocolError, ResponseEnd, ResponseHead
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
 from tuliptrack.rpc.input_scheduler import EVENT_BYTES_PER_UNIT, FIELDS_PER_UNIT, QUANTUM, InputScheduler
-from tuliptrack.rpc.tcp import has_unread, is_closed_by_peer, is_established, set_nodelay
+from tuliptrack.rpc.tcp import (
+    has_unread,
+    is_closed_by_peer,
+    is_established,
+    last_arrival_us,
+    set_nodelay,
+    unread_bytes,
+)
 
 __all__ = ["ClientConnection", "ClientOptions", "Owner"]
 
@@ -81,6 +89,8 @@
         """Work done on input in this turn."""
         self._is_held = False
         """Whether the exchange asks to read nothing."""
+        self._held_up = HeldUpInput()
+        """What arrived while the exchange asked to read nothing."""
         self._body_position = 0
         """How much of the body of the exchange's request the transport was given."""
 
@@ -147,6 +157,7 @@
             self.drop("unasked")
             return
         exchange.heard = exchange.heard or exchange.sent
+        exchange.arrived_at_us = self._held_up.arrived_at_us(size) or self._inputs.earliest_arrival_us()
         self.side.receive(bytes(self._inputs.read_buffer[:size]))
         self._is_input_pending = True
         self._inputs.process(self)
@@ -244,6 +255,8 @@
         self._update_reading()
 
     def resume(self) -> None:
+        if self._is_held:
+            self._held_up.reading_resumed(unread_bytes(self.transport), last_arrival_us(self.transport))
         self._is_held = False
         self._update_reading()
 
--- a/tuliptrack/rpc/http1_exchange.py
+++ b/tuliptrack/rpc/http1_exchange.py
@@ -61,6 +61,7 @@
     """One request. Callbacks run synchronously and must not block."""
 
     __slots__ = (
+        "arrived_at_us",
         "before_write",
         "body",
         "carrier",
@@ -109,6 +110,8 @@
         the peer may have processed the request; before, it has not."""
         self.heard = False
         """Whether something was received on the connection since the request was sent."""
+        self.arrived_at_us = 0
+        """When the part of the answer that is passed on now arrived at this machine, in monotonic microseconds."""
         self.connect_by = 0
         """When the exchange stops waiting for a connection, in monotonic microseconds; 0: not set. It never
         waits longer than `ClientOptions.connect_timeout`, whether this is set or not."""
--- a/tuliptrack/rpc/tcp.py
+++ b/tuliptrack/rpc/tcp.py
@@ -6,24 +6,43 @@
 import asyncio
 import fcntl
 import socket
+import struct
 import termios
 
-__all__ = ["has_unread", "is_closed_by_peer", "is_established", "set_nodelay"]
+from tuliptrack.rpc.clock import now_us
+
+__all__ = [
+    "has_unread",
+    "is_closed_by_peer",
+    "is_established",
+    "last_arrival_us",
+    "set_nodelay",
+    "unread_bytes",
+]
 
 _ESTABLISHED = 1
+_LAST_DATA_RECEIVED = struct.Struct("=I")
+_LAST_DATA_RECEIVED_OFFSET = 52  # bytes into `tcp_info` of `tcpi_last_data_recv`, an age in milliseconds
+_US_PER_MS = 1_000
 _ENDED = frozenset({6, 7, 8, 9, 11})  # TIME_WAIT, CLOSE (after a reset), CLOSE_WAIT, LAST_ACK, CLOSING
 
 
 def _state(transport: asyncio.BaseTransport) -> int:
     """Return the kernel's state of the connection; 0 if it is unknown."""
+    info = _info(transport, 1)
+    return info[0] if info else 0
+
+
+def _info(transport: asyncio.BaseTransport, size: int) -> bytes:
+    """Return the first `size` bytes of the kernel's `tcp_info`; empty if it is unknown."""
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return 0
+        return b""
     try:
-        state: int = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+        info: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, size)
     except OSError:
-        return 0
-    return state
+        return b""
+    return info
 
 
 def is_established(transport: asyncio.BaseTransport) -> bool:
@@ -52,17 +71,26 @@
 
 def has_unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes were received that the loop has not read yet; False if that is unknown."""
-    return _waiting(transport, termios.FIONREAD)
+    return unread_bytes(transport) > 0
 
 
-def _waiting(transport: asyncio.BaseTransport, queue: int) -> bool:
-    """Whether one of the connection's queues in the kernel holds bytes."""
+def unread_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many bytes were received that the loop has not read yet; 0 if that is unknown."""
     sock = transport.get_extra_info("socket")
     if sock is None or sock.fileno() < 0:
-        return False
+        return 0
     count = array.array("i", [0])
     try:
-        fcntl.ioctl(sock.fileno(), queue, count)
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
     except OSError:
-        return False
-    return count[0] > 0
+        return 0
+    return count[0]
+
+
+def last_arrival_us(transport: asyncio.BaseTransport) -> int:
+    """Return when the latest bytes arrived, in monotonic microseconds; the current time if that is unknown."""
+    info = _info(transport, _LAST_DATA_RECEIVED.size + _LAST_DATA_RECEIVED_OFFSET)
+    if len(info) < _LAST_DATA_RECEIVED.size + _LAST_DATA_RECEIVED_OFFSET:
+        return now_us()
+    age_ms: int = _LAST_DATA_RECEIVED.unpack_from(info, _LAST_DATA_RECEIVED_OFFSET)[0]
+    return now_us() - age_ms * _US_PER_MS
