An id that may have run does not run again, and none runs beside its own attempt

Callers: a client left while its attempt was at a decode engine, its id came again on a new connection, and the request ran a second time. With `cancel` off the two attempts were in flight at once. An id that had been served ran again too, whatever the effect of its class.

Cause: the front knew the ids of open requests alone, and freed an id with its client, while the attempt went on.

The answer is 400, which promises nothing. A `free` request whose client stayed may run again; an id whose attempts cannot have run may come again. Two tests wait for the end of requests by the register, one of them by the final states, as the table keeps those whose attempts go on.

--- a/tests/relay/test_client_disconnects.py
+++ b/tests/relay/test_client_disconnects.py
@@ -50,7 +50,7 @@
 
 async def wait_until_idle(p: Platform) -> None:
     """Wait until the node has nothing left to do for its requests."""
-    await until(lambda: not p.relay.table.open and not p.relay.front.open_requests)
+    await until(lambda: not p.relay.table.open and not p.relay.front.call_ids.open)
     await asyncio.sleep(3 * NO_ATTEMPT_AFTER_S)
 
 
--- a/tests/relay/test_endings.py
+++ b/tests/relay/test_endings.py
@@ -108,7 +108,7 @@
             end(p, writer)
             if status:
                 assert (await asyncio.wait_for(read_reply(reader), 5.0)).status == status
-            await until(lambda: not p.relay.front.open_requests)
+            await until(lambda: not p.relay.front.call_ids.open)
             engine.may_read.set()
             await until(lambda: not engine.open_connections)
             assert not engine.received()
--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -163,7 +163,7 @@
                 writer.write(request(f"leaves-{number}", LARGE_BODY, "60"))
                 await until(lambda attempts=attempts: len(p.received()) > attempts)  # type: ignore[misc]
                 writer.close()
-                await until(lambda: not p.relay.front.open_requests)
+                await until(lambda: all(record.is_concluded for record in p.relay.table.open.values()))
             assert len(p.relay.table.open) == CLIENTS, "their attempts go on"
             grown = held.count() - before
             assert grown <= 2 * CLIENTS * UNRESERVED_CONNECTION_BYTES, f"{grown} bytes"
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -454,7 +454,7 @@
         await running.relay.stop(0.0, 0.0)
         for peer in [*engines.values(), running.agent]:
             await peer.stop()
-        assert not running.relay.table.open and not running.relay.front.open_requests, "requests left open"
+        assert not running.relay.table.open and not running.relay.front.call_ids.open, "requests left open"
         assert (
             running.relay.front.body_budget.used_bytes == 0
             and running.relay.front.server.bodies.used_bytes == 0
--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -9,6 +9,7 @@
 import json
 from typing import cast
 
+from tuliptrack.decisions.call_ids import CallIdRegister
 from tuliptrack.decisions.concurrency_limit import ByteBudget, ByteReservation, rejection_text
 from tuliptrack.fronts.port import Failure, FinishReason, InvalidRequestError, RequestHandle, Usage
 from tuliptrack.node.core import Core
@@ -47,25 +48,17 @@
 class _ResponseWriter:
     """The answer to one request; implements `fronts.port.RawResponseWriter`."""
 
-    __slots__ = ("_forwarded", "_reservation", "call", "call_id", "front")
+    __slots__ = ("_forwarded", "_reservation", "call", "front")
 
     def __init__(
-        self,
-        front: Front,
-        call: HttpCall,
-        call_id: str,
-        forwarded: ForwardedRequest,
-        reservation: ByteReservation,
+        self, front: Front, call: HttpCall, forwarded: ForwardedRequest, reservation: ByteReservation
     ) -> None:
-        self.front, self.call, self.call_id = front, call, call_id
+        self.front, self.call = front, call
         self._forwarded, self._reservation = forwarded, reservation
 
     def close(self) -> None:
-        """Free the body and the call id of the request, which has ended; may be called more than once."""
+        """Free the body of the request, which has ended; may be called more than once."""
         self._free_body()
-        # A later request may use the same call id by now.
-        if self.front.open_requests.get(self.call_id) is self:
-            del self.front.open_requests[self.call_id]
 
     def events(self, data: bytes) -> bool:
         """Forward complete events; return False if the client reads too slowly."""
@@ -126,8 +119,7 @@
             ByteBudget(memory.arriving),
             ByteBudget(memory.pipelined),
         )
-        self.open_requests: dict[str, _ResponseWriter] = {}
-        """The writers of open requests by call id."""
+        self.call_ids = CallIdRegister()
         self.is_ready = False
 
     def _reject_early(self, call: HttpCall) -> Rejection | None:
@@ -173,8 +165,9 @@
 
     def _submit(self, call: HttpCall) -> None:
         call_id = parse_call_id(call)
-        if call_id in self.open_requests:
-            raise InvalidRequestError("x-call-id", f"{call_id[:MAX_QUOTED_ID_CHARACTERS]!r} is open")
+        if not (verdict := self.call_ids.verdict(call_id)):
+            reason = f"{call_id[:MAX_QUOTED_ID_CHARACTERS]!r} {verdict.value}"
+            raise InvalidRequestError("x-call-id", reason)
         check_body(call.body)
         request = parse_request(call, call_id, self.core.limits.bytes_per_token)
         reservation = ByteReservation(self.body_budget)
@@ -183,12 +176,13 @@
             call.error(_SERVICE_UNAVAILABLE, reason, _retry_after(BODY_BUDGET_RETRY_AFTER_S))
             return
         forwarded = cast(ForwardedRequest, request.payload)
-        writer = _ResponseWriter(self, call, call_id, forwarded, reservation)
-        self.open_requests[call_id] = writer
+        writer = _ResponseWriter(self, call, forwarded, reservation)
+        self.call_ids.begin(call_id)
         try:
             handle: RequestHandle = self.core.submit(request, writer)
         except InvalidRequestError:
             writer.close()
+            self.call_ids.end(call_id)
             raise
 
         def handle_disconnect(reason: str) -> None:
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from tuliptrack.decisions.call_ids import may_run_again
 from tuliptrack.decisions.concurrency_limit import ConcurrencyLimits
 from tuliptrack.decisions.stream_idle import StreamLimits
 from tuliptrack.interface import EndpointListUpdate, UpdateKind
@@ -167,7 +168,15 @@
         return True
 
     def request_removed(self, record: RequestRecord) -> None:
-        """Record a request that was removed from the table of open requests."""
+        """Record a request that was removed from the table: it and its attempts are over."""
+        self.front.call_ids.end(
+            record.client_request.call_id,
+            may_run_again(
+                self.class_of(record).idempotency,
+                has_executed=record.executed_at_us > 0,
+                is_disconnected=record.state is RequestState.DISCONNECTED,
+            ),
+        )
         if record.state is RequestState.SERVED:
             self.channels.record_served(record)
 
