The soak disturbs streams: engines that stop or write slowly or no events, late readers

Two faults of each of four kinds beside those that a seed had; the others of a seed stay the same. New checks: a client is let go 5.05 s after the last event of an engine that has stopped, or after its own rest; with --no-resume, a stream whose events still come is not cut off. Faults that do not touch streams excuse neither.

--- a/tests/lab/test_soak.py
+++ b/tests/lab/test_soak.py
@@ -27,10 +27,17 @@
 from tuliptrack.lab.soak.records import Recorder, read_records
 from tuliptrack.lab.soak.run_queue import RunQueueWatch
 from tuliptrack.lab.soak.runner import play
-from tuliptrack.lab.soak.schedule import _ADDED_KINDS, FaultKind, Schedule, ScheduledFault, draw
+from tuliptrack.lab.soak.schedule import (
+    _ADDED_KINDS,
+    _STREAM_KINDS,
+    FaultKind,
+    Schedule,
+    ScheduledFault,
+    draw,
+)
 from tuliptrack.lab.soak.settings import World
 
-SCHEDULE = replace(draw(1, 10.0, 2), quota_per_s=40.0, fall_multiple=1.0, cold_from=0.25)
+SCHEDULE = replace(draw(1, 10.0, 2), quota_per_s=40.0, fall_multiple=1.0, cold_from=0.25, may_resume=False)
 WORLD = World(SCHEDULE, Path("/nowhere"), 0.0, {}, {}, {}, {"n0": "", "n1": ""})
 Record = dict[str, Any]
 FAULTS_OF_SEED_1 = [
@@ -173,6 +180,17 @@
         {"t": 1.3, "who": "w1", "event": "answered", "id": "b"},
         {"t": 1.4, "who": "c0", "event": "answer", "id": "b", "status": 503, "whole": True, "after": 0.4},
     ],
+    "idle stream": [
+        {**served("b")[0]},
+        {"t": 1.3, "who": "w1", "event": "last event", "id": "b"},
+        {"t": 6.7, "who": "c0", "event": "answer", "id": "b", "status": 200, "whole": False, "after": 5.7},
+    ],
+    "slow stream": [
+        {**served("b")[0]},
+        {"t": 1.3, "who": "w1", "event": "slow", "id": "b"},
+        {"t": 5.6, "who": "w1", "event": "broken off", "id": "b"},
+        {"t": 5.6, "who": "c0", "event": "answer", "id": "b", "status": 200, "whole": False, "after": 4.6},
+    ],
     "commands": [{"t": 9.0, "who": "c0", "event": "commands", "node": "n0", "sent": 40, "answered": 39}],
     "stalled client": [{"t": 9.0, "who": "c0", "event": "stalled", "id": "s", "node": "n0", "after": 3.5}],
 }
@@ -323,7 +341,7 @@
     former = [
         (fault.kind.value, fault.target, fault.at, fault.until)
         for fault in draw(1, 8.0, 2).faults
-        if fault.kind not in _ADDED_KINDS
+        if fault.kind not in (*_ADDED_KINDS, *_STREAM_KINDS)
     ]
     assert former == FAULTS_OF_SEED_1
 
@@ -347,7 +365,7 @@
 
 
 def test_added_kinds_excuse_no_violation() -> None:
-    for kind in _ADDED_KINDS:
+    for kind in (*_ADDED_KINDS, *_STREAM_KINDS):
         span: Record = {"t": 0.9, "who": "runner", "event": "fault", "kind": kind.value, "until": 3.0}
         for target in ("w1", "n0"):
             fault = {**span, "target": target, "amount": 0.0}
@@ -452,6 +470,15 @@
     assert result.requests > 50
 
 
+def test_a_seed_with_disturbed_streams_that_cannot_be_resumed() -> None:
+    """Engines that stop, write slowly or write what is no event, and clients that read late."""
+    schedule = replace(draw(2002, 15.0, 2), may_resume=False)
+    assert set(_STREAM_KINDS) <= {fault.kind for fault in schedule.faults}
+    result = asyncio.run(asyncio.wait_for(play(schedule), 90))
+    assert result.violations == [] or result.lag_s > 0.3, result.violations
+    assert result.requests > 50
+
+
 def test_overlapping_restarts_of_an_engine_leave_one_process(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tuliptrack/cli/soak.py
+++ b/tuliptrack/cli/soak.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 from collections.abc import Coroutine
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -45,6 +46,13 @@
 @click.option("--seeds", type=_Seeds(), default="1..1", show_default=True, help="One seed, or A..B.")
 @click.option("--nodes", type=click.IntRange(1, _MAX_NODES), default=3, show_default=True)
 @click.option("--minutes", type=click.FloatRange(_MIN_MINUTES, _MAX_MINUTES), default=0.25, show_default=True)
+@click.option(
+    "--resume/--no-resume",
+    "may_resume",
+    default=True,
+    show_default=True,
+    help="Whether streams can be resumed.",
+)
 @click.option(
     "--schedule", "schedule_file", type=click.Path(), help="Run the schedule in this file instead of seeds."
 )
@@ -60,6 +68,7 @@
     seeds: range,
     nodes: int,
     minutes: float,
+    may_resume: bool,
     schedule_file: str | None,
     to_shrink: str | None,
     keep: str | None,
@@ -72,7 +81,7 @@
     schedules = (
         [_read_schedule(schedule_file)]
         if schedule_file
-        else [draw(seed, minutes * 60, nodes) for seed in seeds]
+        else [replace(draw(seed, minutes * 60, nodes), may_resume=may_resume) for seed in seeds]
     )
     failures = 0
     for schedule in schedules:
--- a/tuliptrack/lab/soak/client.py
+++ b/tuliptrack/lab/soak/client.py
@@ -6,6 +6,7 @@
 import contextlib
 import random
 import re
+import socket
 from dataclasses import dataclass
 
 from tuliptrack.lab.soak.crowd import run_crowds
@@ -29,6 +30,11 @@
 """Share of the requests that go to a node that is shutting down, if there is one."""
 _WAIT_AFTER_DEADLINE_S = 3.0
 """How long after its deadline a client still waits for its answer."""
+_STREAM_WAIT_S = 12.0
+"""How long a client waits for the end of an answer that has begun."""
+_READS_LATE_SHARE = 0.5
+"""Share of the answers that clients read late, while that fault lasts."""
+_SMALL_BUFFER_BYTES = 4_096
 _STALL_S = 3.5
 _READER_LIMIT_BYTES = 1 << 20
 _REFUSED = 503
@@ -43,6 +49,8 @@
     """Status of the answer that has begun; -1: none has."""
     given_up: bool = False
     """Whether the client has stopped waiting."""
+    rested_until: float = 0.0
+    """Until when the client left the answer unread; 0: it did not."""
     held_back: float = 0.0
     """The longest time in seconds from an engine's write of an event to its arrival here."""
 
@@ -51,6 +59,17 @@
         for written in _WRITTEN_AT.findall(data):
             self.held_back = max(self.held_back, now - float(written))
 
+    async def rest(self, seconds: float) -> None:
+        """Leave the answer unread for some time, with little room for it in the kernel."""
+        transport = self.writer.transport
+        transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+        )
+        transport.pause_reading()  # type: ignore[attr-defined]
+        await asyncio.sleep(seconds)
+        self.rested_until = asyncio.get_running_loop().time()
+        transport.resume_reading()  # type: ignore[attr-defined]
+
     def close(self) -> None:
         self.writer.close()
 
@@ -68,6 +87,7 @@
     def __init__(self, world: World, recorder: Recorder, name: str) -> None:
         self.world, self.recorder, self.name = world, recorder, name
         self.random = random.Random(f"{world.schedule.seed} client {name}")
+        self._stream_random = random.Random(f"{world.schedule.seed} client {name} streams")
         self.connections: dict[str, _Connection] = {}
 
     async def run(self) -> None:
@@ -157,6 +177,7 @@
             after=asyncio.get_running_loop().time() - sent,
             given_up=connection.given_up,
             held_back=round(connection.held_back, 4),
+            rested_until=connection.rested_until,
         )
         if is_reusable and status > 0 and node not in self.connections:
             self.connections[node] = connection
@@ -211,27 +232,44 @@
         connection.status, connection.held_back = -1, 0.0
         try:
             connection.writer.write(data)
-            return await asyncio.wait_for(self._read_answer(connection), timeout)
+            fields = await asyncio.wait_for(self._read_head(connection), timeout)
+            body_timeout = timeout if leaves_after is not None else _STREAM_WAIT_S
+            return await asyncio.wait_for(self._read_body(connection, fields), body_timeout)
         except TimeoutError:
             connection.given_up = True
             return connection.status, False, False
         except (OSError, asyncio.IncompleteReadError, ValueError):
             return 0, False, False
 
-    async def _read_answer(self, connection: _Connection) -> tuple[int, bool, bool]:
-        reader = connection.reader
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower().split("\r\n")
-        status = connection.status = int(head[0].split(" ")[1])
-        fields = {
-            name: value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)
-        }
+    async def _read_head(self, connection: _Connection) -> dict[str, str]:
+        """Read the head of the answer, note its status and return its fields."""
+        raw = await connection.reader.readuntil(b"\r\n\r\n")
+        head = raw.decode("latin-1").lower().split("\r\n")
+        connection.status = int(head[0].split(" ")[1])
+        return {name: value.strip() for name, _, value in (line.partition(":") for line in head[1:] if line)}
+
+    def _rest_s(self) -> float:
+        """Return for how long the client leaves its answer unread."""
+        now = asyncio.get_running_loop().time() - self.world.began
+        for fault in self.world.schedule.faults:
+            if fault.kind is FaultKind.READ_LATE and fault.at <= now <= fault.until:
+                return fault.amount if self._stream_random.random() < _READS_LATE_SHARE else 0.0
+        return 0.0
+
+    async def _read_body(self, connection: _Connection, fields: dict[str, str]) -> tuple[int, bool, bool]:
+        reader, status = connection.reader, connection.status
         is_reusable = fields.get("connection") != "close"
         if "content-length" in fields:
             await reader.readexactly(int(fields["content-length"]))
             return status, True, is_reusable
+        if rest_s := self._rest_s():
+            await connection.rest(rest_s)
+            is_reusable = False  # Its buffer stays small.
         try:
             while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
-                connection.note_events(await reader.readexactly(size + 2), asyncio.get_running_loop().time())
+                data = await reader.readexactly(size + 2)
+                if not connection.rested_until:
+                    connection.note_events(data, asyncio.get_running_loop().time())
             await reader.readexactly(2)
         except (asyncio.IncompleteReadError, OSError, ValueError):
             return status, False, False
--- a/tuliptrack/lab/soak/engine.py
+++ b/tuliptrack/lab/soak/engine.py
@@ -16,6 +16,8 @@
 from tuliptrack.decisions.concurrency_limit import ByteBudget
 from tuliptrack.lab.soak.hostile_values import hostile_headers, hostile_usage
 from tuliptrack.lab.soak.records import Recorder
+from tuliptrack.lab.soak.schedule import FaultKind
+from tuliptrack.lab.soak.stream_faults import LARGE_EVENT, LARGE_EVENTS, disturb
 from tuliptrack.rpc.http1 import HttpCall, HttpLimits, HttpServer, Rejection
 
 __all__ = ["SoakEngine", "large_byte_budget", "no_early_rejection"]
@@ -40,9 +42,13 @@
         """Whether the engine accepts requests without answering them."""
         self.hostile_turn: int | None = None
         """Number of the unusable value in its load reports and token counts; None: it sends none."""
+        self.stream_fault: FaultKind | None = None
+        """How the engine disturbs the streams that it writes; None: not at all."""
+        self.writes_large_events = False
         self._states = folder / "states"
         self._states.mkdir(exist_ok=True)
         self._random = random.Random(f"{seed} {name}")
+        self._stream_random = random.Random(f"{seed} {name} streams")
         self._answering: set[asyncio.Task[None]] = set()
         limits = HttpLimits(request_timeout=60_000_000, idle=60_000_000)
         self.server = HttpServer(self._handle, no_early_rejection, limits, large_byte_budget())
@@ -114,15 +120,26 @@
         if not call.open:
             return
         call.start(200, "text/event-stream", self._load_report())
-        for _ in range(_EVENTS):
+        for index in range(_EVENTS):
             call.send(_TOKEN % time.monotonic())
             await asyncio.sleep(self._random.uniform(*_EVENT_S))
+            if index == 0 and not await self._goes_on(call, call_id):
+                return
         if self.hostile_turn is not None:
             call.send(hostile_usage(self.hostile_turn))
         call.send(_END)
         call.end()
         self.recorder.note("answered", id=call_id)
 
+    async def _goes_on(self, call: HttpCall, call_id: str) -> bool:
+        """Play the faults of a stream that has begun; return whether the engine goes on with it."""
+        if self.writes_large_events:
+            for _ in range(LARGE_EVENTS):
+                call.send(LARGE_EVENT)
+        if self.stream_fault is None:
+            return True
+        return await disturb(self.stream_fault, call, call_id, self.recorder, self._stream_random)
+
 
 def no_early_rejection(call: HttpCall) -> Rejection | None:
     """Reject no request by its head."""
--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -19,6 +19,9 @@
 
 _AFTER_DISCONNECT_S, _DEADLINE_SLACK_S, _ANSWER_SLACK_S, _STALLED_CLIENT_S = 0.1, 0.15, 0.5, 3.0
 _NODE_PAUSE_S = 0.15
+_MAX_WAIT_AFTER_EVENT_S = 5.05
+_MAX_WAIT_AFTER_REST_S = 1.0
+"""Time after a rest within which a client has all that its engine wrote, and is let go."""
 _MAX_EVENT_DELAY_S = 0.3
 _LOSS_AFTER_SIGTERM_S = 0.7
 _LONG_DELAY_S = 0.1
@@ -36,9 +39,28 @@
 """Faults during which an engine answers nothing."""
 _TOLERATED_KINDS = {
     kind.value
-    for kind in (FaultKind.SIGNALS, FaultKind.HOSTILE_LIST, FaultKind.HOSTILE_ADVICE, FaultKind.CROWD)
+    for kind in (
+        FaultKind.SIGNALS,
+        FaultKind.HOSTILE_LIST,
+        FaultKind.HOSTILE_ADVICE,
+        FaultKind.CROWD,
+        FaultKind.STREAM_STOPS,
+        FaultKind.STREAM_SLOW,
+        FaultKind.STREAM_NO_EVENTS,
+        FaultKind.READ_LATE,
+    )
 }
 """Faults that excuse no violation: a node must tolerate them without losing anything."""
+_HARMLESS_TO_STREAMS = frozenset(
+    kind.value
+    for kind in (
+        FaultKind.NODE_HELD_UP,
+        FaultKind.NODE_RELOADS,
+        FaultKind.CLOCK_STEP,
+        FaultKind.DRAIN,
+    )
+)
+"""Faults that neither end a stream nor hold up what its engine has written for long."""
 _SHUTDOWN_S = 5.0
 """Time after SIGTERM within which a node may still be shutting down."""
 _ANSWER_LEAD_S = 0.3
@@ -81,6 +103,8 @@
         *_check_answers(requests.values(), process_ends, _CrowdSpans(world, records), margin),
         *_check_streams(requests.values(), fault_spans, process_ends),
         *_check_events(requests.values(), fault_spans, margin),
+        *_check_idle_streams(records, requests, fault_spans, margin),
+        *_check_slow_streams(world, records, requests, fault_spans, process_ends),
         *_check_states(world, records, _EngineReachability(world, records), process_ends, margin),
         *_check_repeats(requests.values(), margin),
         *_check_disconnects(requests.values(), margin),
@@ -203,22 +227,25 @@
 
     def __init__(self, world: World, records: list[dict[str, Any]], margin: float) -> None:
         """`margin` is how late the process that plays a fault may end it."""
-        self._spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+        self._spans: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
         for record in records:
             if record["event"] == "fault" and record["kind"] not in _TOLERATED_KINDS:
                 delay = record["amount"] if record["kind"] == FaultKind.DELAY.value else 0.0
                 # Other processes start the fault by the schedule, shortly before the runner records it.
                 start = min(record["t"], world.began + record.get("at", float("inf")))
-                self._spans[record["target"]].append((start, world.began + record["until"] + delay + margin))
+                end = world.began + record["until"] + delay + margin
+                self._spans[record["target"]].append((start, end, record["kind"]))
 
-    def affected(self, request: _Request) -> bool:
-        """Whether a fault affected the request's node or one of its engines before its answer ended."""
+    def affected(self, request: _Request, but: frozenset[str] = frozenset()) -> bool:
+        """Whether a fault, other than of the kinds `but`, affected the request's node or one of its engines before
+        its answer ended.
+        """
         assert request.answer
         ended = request.sent + request.answer["after"]
         return any(
-            start <= ended and end >= request.sent
+            start <= ended and end >= request.sent and kind not in but
             for name in request.engines_and_node
-            for start, end in self._spans[name]
+            for start, end, kind in self._spans[name]
         )
 
 
@@ -253,6 +280,60 @@
     ]
 
 
+def _check_idle_streams(
+    records: list[dict[str, Any]], requests: dict[str, _Request], fault_spans: _FaultSpans, margin: float
+) -> list[Violation]:
+    """A client is let go in time after the last event of an engine that has stopped, or after its own rest."""
+    found = []
+    for record in records:
+        request = requests[record["id"]] if record["event"] == "last event" else None
+        if request is None or request.answer is None or request.left:
+            continue
+        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
+            continue
+        by = max(
+            record["t"] + _MAX_WAIT_AFTER_EVENT_S,
+            request.answer.get("rested_until", 0.0) + _MAX_WAIT_AFTER_REST_S,
+        )
+        ended = request.sent + request.answer["after"]
+        if ended > by + _NODE_PAUSE_S + margin:
+            found.append(
+                Violation(
+                    "idle stream", request.name, f"let go {ended - record['t']:.3f} s after the last event"
+                )
+            )
+    return found
+
+
+def _check_slow_streams(
+    world: World,
+    records: list[dict[str, Any]],
+    requests: dict[str, _Request],
+    fault_spans: _FaultSpans,
+    process_ends: _ProcessEnds,
+) -> list[Violation]:
+    """A stream whose events still come is not cut off, unless its client may resume it elsewhere."""
+    if world.schedule.may_resume:
+        return []
+    found = []
+    for record in records:
+        request = requests[record["id"]] if record["event"] == "slow" else None
+        if request is None or request.answer is None or request.left:
+            continue
+        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
+            continue
+        is_cut_off = request.answer["status"] == 200 and not request.answer["whole"]
+        ended = request.sent + request.answer["after"]
+        is_at_the_end = ended > world.began + world.schedule.seconds
+        is_shutting_down = any(abs(ended - at) < _SHUTDOWN_S for at in process_ends.terminated[request.node])
+        is_killed = process_ends.kill_after(request.node, request.sent) <= ended
+        if is_cut_off and not (is_at_the_end or is_shutting_down or is_killed):
+            found.append(
+                Violation("slow stream", request.name, f"cut off {ended - record['t']:.3f} s after an event")
+            )
+    return found
+
+
 def _is_unresponsive(fault: dict[str, Any]) -> bool:
     """Whether the fault keeps an engine from answering in time."""
     return fault["kind"] in _UNRESPONSIVE_KINDS or (
--- a/tuliptrack/lab/soak/participant.py
+++ b/tuliptrack/lab/soak/participant.py
@@ -56,10 +56,28 @@
     for fault in _faults_of(world, name, FaultKind.HOSTILE_ADVICE):
         _at(world, fault.at, lambda fault=fault: set_hostile_values(int(fault.amount)))  # type: ignore[misc]
         _at(world, fault.until, lambda: set_hostile_values(None))
+    _play_stream_faults(world, engine)
     host, _, port = world.engines[name].rpartition(":")
     await engine.server.listen(host, int(port))
 
 
+def _play_stream_faults(world: World, engine: SoakEngine) -> None:
+    def set_stream_fault(kind: FaultKind | None) -> None:
+        engine.stream_fault = kind
+
+    kinds = (FaultKind.STREAM_STOPS, FaultKind.STREAM_SLOW, FaultKind.STREAM_NO_EVENTS)
+    for fault in _faults_of(world, engine.name, *kinds):
+        _at(world, fault.at, lambda fault=fault: set_stream_fault(fault.kind))  # type: ignore[misc]
+        _at(world, fault.until, lambda: set_stream_fault(None))
+
+    def set_large_events(on: bool) -> None:
+        engine.writes_large_events = on
+
+    for fault in _faults_of(world, "", FaultKind.READ_LATE):
+        _at(world, fault.at, lambda: set_large_events(True))
+        _at(world, fault.until, lambda: set_large_events(False))
+
+
 async def _proxy(world: World, name: str, recorder: Recorder) -> None:
     proxy = FaultProxy(world.engines[name])
 
--- a/tuliptrack/lab/soak/schedule.py
+++ b/tuliptrack/lab/soak/schedule.py
@@ -54,6 +54,10 @@
     HOSTILE_ADVICE = "an engine's load reports and token counts cannot be used"
     CROWD = "a crowd of idle clients"
     """They use up a node's descriptors, and one client pipelines many commands."""
+    STREAM_STOPS = "an engine stops in the middle of its streams"
+    STREAM_SLOW = "an engine writes its streams slowly"
+    STREAM_NO_EVENTS = "an engine writes what is no event"
+    READ_LATE = "clients read large answers late"
 
 
 @dataclass(frozen=True)
@@ -67,7 +71,7 @@
     until: float
     amount: float = 0.0
     """Depending on the kind: seconds of a delay or of a clock step; the share of system calls that fail; whether a
-    planned restart comes with signals in series (1) or not (0); the number of a hostile value.
+    planned restart comes with signals in series (1) or not (0); the number of a hostile value; seconds of a client's rest.
     """
 
 
@@ -94,6 +98,8 @@
     """Number of engines that do both prefill and decode."""
     aim_s: float = 1.0
     """Time within which clients want their first token."""
+    may_resume: bool = True
+    """Whether clients may ask another node for the rest of a stream that broke."""
     faults: tuple[ScheduledFault, ...] = field(default=())
 
     @property
@@ -141,6 +147,10 @@
     FaultKind.HOSTILE_LIST: (3.0, 8.0),
     FaultKind.HOSTILE_ADVICE: (1.0, 4.0),
     FaultKind.CROWD: (1.0, 4.0),
+    FaultKind.STREAM_STOPS: (1.5, 3.0),
+    FaultKind.STREAM_SLOW: (1.5, 3.0),
+    FaultKind.STREAM_NO_EVENTS: (1.5, 3.0),
+    FaultKind.READ_LATE: (1.0, 4.0),
 }
 """Shortest and longest duration of each kind."""
 _NODE_KINDS = frozenset(
@@ -169,6 +179,16 @@
 """Kinds that were added later. They are drawn separately from the others, so that the other faults of a seed stay
 the same as before.
 """
+_STREAM_KINDS = (
+    FaultKind.STREAM_STOPS,
+    FaultKind.STREAM_SLOW,
+    FaultKind.STREAM_NO_EVENTS,
+    FaultKind.READ_LATE,
+)
+"""Kinds that affect streams that have begun. They are drawn separately too, for the same reason."""
+_LONGEST_STREAM_S = 7.0
+"""Time that a disturbed stream may take to its end; no such fault begins later than this before the soak's end."""
+_REST_S = (0.5, 4.0)
 _ONCE_PER_NODE = frozenset({FaultKind.NODE_RESTARTS, FaultKind.NODE_KILLED})
 
 
@@ -197,7 +217,9 @@
     faults: list[ScheduledFault] = []
     restarted: set[str] = set()
     for _ in range(max(4, round(seconds / 1.5))):
-        kind = rng.choice([candidate for candidate in FaultKind if candidate not in _ADDED_KINDS])
+        kind = rng.choice(
+            [candidate for candidate in FaultKind if candidate not in (*_ADDED_KINDS, *_STREAM_KINDS)]
+        )
         begin = rng.uniform(QUIET_S, max(seconds - 2 * QUIET_S, QUIET_S))
         for target in _targets(rng, kind, base):
             if kind in _ONCE_PER_NODE and (target in restarted or restarted.add(target)):  # type: ignore[func-returns-value]
@@ -205,7 +227,7 @@
             shortest, longest = _DURATIONS_S[kind]
             end = min(begin + rng.uniform(shortest, longest), max(seconds - QUIET_S, begin + shortest))
             faults.append(ScheduledFault(kind, target, round(begin, 3), round(end, 3), _amount(rng, kind)))
-    faults = _with_added_kinds(faults, base)
+    faults = [*_with_added_kinds(faults, base), *_stream_faults(base)]
     return replace(base, faults=tuple(sorted(faults, key=lambda fault: fault.at)))
 
 
@@ -225,6 +247,24 @@
     return found
 
 
+def _stream_faults(base: Schedule) -> list[ScheduledFault]:
+    """Draw faults of the kinds in `_STREAM_KINDS`, two of each; in a very short soak some are left out."""
+    rng = random.Random(f"streams {base.seed}")
+    decode_engines = [name for name in base.engines if not name.startswith("r")]
+    found = []
+    for kind in _STREAM_KINDS * 2:
+        begin = rng.uniform(QUIET_S, base.seconds - _LONGEST_STREAM_S)
+        until = begin + rng.uniform(*_DURATIONS_S[kind])
+        target, rest_s = rng.choice(decode_engines), rng.uniform(*_REST_S)
+        if begin < QUIET_S:
+            continue
+        if kind is FaultKind.READ_LATE:
+            found.append(ScheduledFault(kind, "", round(begin, 3), round(until, 3), round(rest_s, 3)))
+        else:
+            found.append(ScheduledFault(kind, target, round(begin, 3), round(until, 3)))
+    return found
+
+
 def _targets(rng: random.Random, kind: FaultKind, base: Schedule) -> list[str]:
     if kind in (FaultKind.AGENT_SILENT, FaultKind.HOSTILE_LIST):
         return [""]
--- a/tuliptrack/lab/soak/settings.py
+++ b/tuliptrack/lab/soak/settings.py
@@ -115,7 +115,7 @@
         "specifics": {
             "dutyByKind": ["read", "write", "both"],
             "letGoBy": int(schedule.release_within_s * 1e6),
-            "resume": True,
+            "resume": schedule.may_resume,
             "writersRead": False,
         },
     }
