An id whose request was rejected may come again

The register of ids refused an id that had been rejected, where an attempt may have run and the class has a key: the rejection had said that a repeat is harmless. Red before the change: 400 in place of 200. The tests of repeated ids now ask for the status, as an error is a complete answer too.

--- a/tests/relay/test_repeated_ids.py
+++ b/tests/relay/test_repeated_ids.py
@@ -67,7 +67,7 @@
             await wait_until_idle(p)
             reply = await p.send(of_effect(effect))
             assert reply.status == 400 and b"x-call-id" in reply.body and len(attempts(p, "twice")) == 2
-            assert (await p.send(of_effect(effect, "other"))).is_complete
+            assert (await p.send(of_effect(effect, "other"))).status == 200
 
     run(go)
 
@@ -90,7 +90,7 @@
 def test_an_id_that_was_served_runs_again_only_if_that_is_harmless(effect: str) -> None:
     async def go() -> None:
         async with platform(changes(), r0=answer_prefill, w0=answer_decode) as p:
-            assert (await p.send(of_effect(effect))).is_complete
+            assert (await p.send(of_effect(effect))).status == 200
             again = await p.send(of_effect(effect))
             assert again.status == (200 if effect == "free" else 400)
 
@@ -114,6 +114,25 @@
             reset(sock)
             await wait_until_idle(p)
             may_answer.set()
-            assert (await p.send(of_effect(effect))).is_complete
+            assert (await p.send(of_effect(effect))).status == 200
+
+    run(go)
+
+
+# Guards against a rejection that is not kept: it says that a repeat is harmless, also where an attempt may have run.
+def test_an_id_that_was_rejected_may_come_again() -> None:
+    async def go() -> None:
+        is_broken = True
+
+        async def decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            if is_broken and received.method == "POST":
+                writer.transport.abort()
+                return
+            await answer_decode(received, writer)
+
+        async with platform(changes(), r0=answer_prefill, w0=decode) as p:
+            assert (await p.send(of_effect("guarded"))).status == 503 and p.engines["w0"].received()
+            is_broken = False
+            assert (await p.send(of_effect("guarded"))).status == 200
 
     run(go)
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -169,14 +169,13 @@
 
     def request_removed(self, record: RequestRecord) -> None:
         """Record a request that was removed from the table: it and its attempts are over."""
-        self.front.call_ids.end(
-            record.client_request.call_id,
-            may_run_again(
-                self.class_of(record).idempotency,
-                has_executed=record.executed_at_us > 0,
-                is_disconnected=record.state is RequestState.DISCONNECTED,
-            ),
+        # A rejection has told the client that a repeat is harmless.
+        is_harmless = record.state is RequestState.REJECTED or may_run_again(
+            self.class_of(record).idempotency,
+            has_executed=record.executed_at_us > 0,
+            is_disconnected=record.state is RequestState.DISCONNECTED,
         )
+        self.front.call_ids.end(record.client_request.call_id, is_harmless)
         if record.state is RequestState.SERVED:
             self.channels.record_served(record)
 
