Test: neither a shutdown nor a change of the list moves the limit of idle streams

A node process, SIGTERM, a draining engine and an engine off the list, 0.3 s and less after the streams have begun: silent engines and pings are let go within 5.05 s, a pause of 4.5 s is borne.

--- a/tests/relay/test_stream_idle_timeout.py
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -7,16 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
 
+import pytest
 from relay_harness import (
     FINAL_EVENTS,
     SETTINGS,
     STREAM_HEAD,
     TOKEN_EVENTS,
+    Platform,
     ReceivedRequest,
     Reply,
     answer_prefill,
@@ -26,7 +29,7 @@
     request,
 )
 from relay_process import Node, start_node
-from world import run
+from world import run, until
 
 MAX_WAIT_S = 5.05
 """Time after an engine's last event within which its client must be let go."""
@@ -150,18 +153,28 @@
     return answer
 
 
-def play(tmp_path: Path, streams: dict[str, Stream]) -> list[str]:
-    """Play streams at the same time, over one node process and one decode engine; return the node's log."""
+Meanwhile = Callable[[Platform, Node], None]
+
+
+def nothing(p: Platform, node: Node) -> None:
+    pass
+
+
+def play(tmp_path: Path, streams: dict[str, Stream], meanwhile: Meanwhile = nothing) -> list[str]:
+    """Play streams at the same time, over one node process and one decode engine; return the node's log.
+
+    `meanwhile` is called once the streams have begun.
+    """
     log: list[str] = []
 
     async def go() -> None:
-        log.extend(await play_on_loop(tmp_path, streams))
+        log.extend(await play_on_loop(tmp_path, streams, meanwhile))
 
     run(go, 60)
     return log
 
 
-async def play_on_loop(tmp_path: Path, streams: dict[str, Stream]) -> list[str]:
+async def play_on_loop(tmp_path: Path, streams: dict[str, Stream], meanwhile: Meanwhile) -> list[str]:
     async def decode(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         if received.method == "DELETE":
             await answer_prefill(received, writer)
@@ -196,7 +209,10 @@
         )
         try:
             asks = [ask(node, call_id, stream) for call_id, stream in streams.items()]
-            await asyncio.wait_for(asyncio.gather(*asks), 40)
+            asking = asyncio.gather(*asks)
+            await until(lambda: asking.done() or all(stream.last_event_at for stream in streams.values()))
+            meanwhile(p, node)
+            await asyncio.wait_for(asking, 40)
         finally:
             await node.kill()
     return node.log
@@ -302,3 +318,32 @@
     play(tmp_path, streams | late)
     check_complete(streams, body)
     check_complete(late, b"".join([*LARGE_ANSWER, *others, *FINAL_EVENTS]))
+
+
+def shut_down(p: Platform, node: Node) -> None:
+    node.process.send_signal(signal.SIGTERM)
+
+
+def drain(p: Platform, node: Node) -> None:
+    p.publish(w0="Terminating")
+
+
+def remove(p: Platform, node: Node) -> None:
+    p.unlisted.add("w0")
+    p.publish()
+
+
+# Guards against streams that a shutdown, or the end of an engine's place on the list, keeps open or cuts off.
+@pytest.mark.parametrize("meanwhile", [shut_down, drain, remove])
+def test_neither_a_shutdown_nor_a_change_of_the_list_moves_the_limit(
+    meanwhile: Meanwhile, tmp_path: Path
+) -> None:
+    idle = {
+        "silent": Stream(then(events(*TOKEN_EVENTS), stay_silent)),
+        "pings": Stream(then(events(*TOKEN_EVENTS), repeat(b"event: ping\n\n"), stay_silent)),
+    }
+    first, *others = TOKEN_EVENTS
+    sound = {"pause": Stream(then(events(first), wait(SOUND_GAP_S), events(*others, *FINAL_EVENTS)))}
+    play(tmp_path, idle | sound, meanwhile)
+    check_let_go(idle)
+    check_complete(sound, b"".join([first, *others, *FINAL_EVENTS]))
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -370,6 +370,8 @@
         self.revision = 1
         self.list_changed = asyncio.Event()
         self.phases: dict[str, str] = {}
+        self.unlisted: set[str] = set()
+        """The engines that the list does not name."""
         self.relay: RelayNode
         self.ids = (f"c-{n}" for n in itertools.count())
 
@@ -387,6 +389,7 @@
                 "up_since_ms": 0,
             }
             for name, engine in self.engines.items()
+            if name not in self.unlisted
         ]
 
     def publish(self, **phases: str) -> None:
