A stream is not handed back before its client has any of it

Callers: a failure in place of an answer that was there in time.

Cause: the router is told of a stream's start before the first event is forwarded. Where it finds at that moment that the engine's streams are slow, it hands all of them back, the new one among them, and a client that has nothing yet gets a 502. The node's log: 471.0 first token, 471.6 cancelled, 'handed back to be resumed'. Now such a stream goes on. The test was red before: 502 in place of the whole answer.

--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -26,7 +26,16 @@
 )
 from world import run, until
 
-from tuliptrack.interface import Action, Event, LogMessage, Reject, Request, Role
+from tuliptrack.interface import (
+    Action,
+    Event,
+    LogMessage,
+    MigrateStream,
+    Reject,
+    Request,
+    Role,
+    StreamStarted,
+)
 from tuliptrack.routing.idempotency import NODE_STALL_US
 
 
@@ -371,3 +380,21 @@
             assert endpoints[Role.DECODE].reported_memory_share == 0.75
 
     run(go, virtual=True)
+
+
+# Guards against a failure in place of an answer: a stream was handed back before its first event was forwarded.
+def test_a_stream_is_not_migrated_before_its_client_has_any_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def go() -> None:
+        async with platform(r0=answer_prefill, w0=answer_decode) as p:
+            router = p.relay.router
+            decide = router.handle
+
+            def migrate_at_the_start(now_us: int, events: list[Event]) -> list[Action]:
+                started = [event for event in events if isinstance(event, StreamStarted)]
+                return [*decide(now_us, events), *(MigrateStream(event.request_id) for event in started)]
+
+            monkeypatch.setattr(router, "handle", migrate_at_the_start)
+            reply = await p.send_request()
+            assert (reply.status, reply.is_complete, reply.body) == (200, True, STREAM)
+
+    run(go, virtual=True)
--- a/tuliptrack/node/core.py
+++ b/tuliptrack/node/core.py
@@ -254,7 +254,9 @@
         record.first_token_at_us = now_us
         self.stream_started(record)
         latency_us = now_us - attempt.sent_at_us
+        record.is_beginning_stream = True
         self.dispatch(io.StreamStarted(record.id, attempt.number, attempt.endpoint_id, latency_us))
+        record.is_beginning_stream = False
 
     def output_forwarded(self, record: RequestRecord, attempt: Attempt, may_continue: bool) -> None:
         """Pause the attempt if the front, after this part of the answer, accepts no more for now."""
--- a/tuliptrack/node/final_answers.py
+++ b/tuliptrack/node/final_answers.py
@@ -56,9 +56,12 @@
             self.fail(record, Failure.DEADLINE if is_late else Failure.LOST, reason)
 
     def handle_migrate(self, action: io.MigrateStream) -> None:
-        """Carry out a `MigrateStream`: the client resumes the stream at another node."""
+        """Carry out a `MigrateStream`: the client resumes the stream at another node.
+
+        A client that has no output yet has nothing to resume: it would get a failure in place of its answer.
+        """
         record = self._core.table.open.get(action.request_id)
-        if record and record.state is RequestState.STREAMING:
+        if record and record.state is RequestState.STREAMING and not record.is_beginning_stream:
             reason = "the stream is handed back to be resumed"
             self.break_stream(record, Failure.MIGRATED, reason, io.Status.CANCELLED)
 
--- a/tuliptrack/node/requests.py
+++ b/tuliptrack/node/requests.py
@@ -126,6 +126,8 @@
     first_token_at_us: int = 0
     stream: StreamActivity = field(default_factory=StreamActivity)
     """What has happened to the answer."""
+    is_beginning_stream: bool = False
+    """Whether the first output has arrived and is not forwarded yet."""
     stream_timer: asyncio.TimerHandle | None = None
     """The timer of the next check of the answer; None before its first output."""
     reason: str = ""
