Soak: clients that rest keep a larger buffer, and answers are longer in its place

The node had let the engines go 4.70 s after the last event, and 0.5 s after the rest. The check and its bounds stay.

--- a/tuliptrack/lab/soak/client.py
+++ b/tuliptrack/lab/soak/client.py
@@ -34,7 +34,7 @@
 """How long a client waits for the end of an answer that has begun."""
 _READS_LATE_SHARE = 0.5
 """Share of the answers that clients read late, while that fault lasts."""
-_SMALL_BUFFER_BYTES = 4_096
+_SMALL_BUFFER_BYTES = 32_768
 _STALL_S = 3.5
 _READER_LIMIT_BYTES = 1 << 20
 _REFUSED = 503
--- a/tuliptrack/lab/soak/stream_faults.py
+++ b/tuliptrack/lab/soak/stream_faults.py
@@ -18,7 +18,7 @@
 LARGE_EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"%b"},"finish_reason":null}]}\n\n' % (
     b"x" * 16_000
 )
-LARGE_EVENTS = 12
+LARGE_EVENTS = 15
 """Number of large events in an answer: more than the buffers hold between an engine and a client that rests."""
 _NON_EVENTS = (
     b": ping\n\n",
