A request may have 128 header fields: many short ones took a node past its memory limit

Callers: a node passed its memory limit and was killed while hundreds of clients were connected that had sent heads of very many short fields.

Cause: heads are bounded by their bytes, 16 kB, and kept parsed while the body is received and the request is open; a field of a few bytes takes some hundred as a tuple, two strings and an entry of a dict.

Why it works: the number is bounded where heads are parsed, for the platform's front and KServe REST alike, at 128. The new test was red for 1,600 fields (408 after the body's time, in place of 431) and holds 128 fields to what a connection may take. A test that counts work passes its own limit now, as its heads have 1,500 fields.

--- a/tests/relay/test_memory.py
+++ b/tests/relay/test_memory.py
@@ -205,3 +205,45 @@
     fixed = PROCESS_BYTES + CONNECTION_BYTES * (clients + engines)
     if fixed < 0.7 * memory_bytes:
         assert fixed + buffers <= 0.93 * memory_bytes, "room is left for what is not counted"
+
+
+def head_of_many_fields(count: int) -> bytes:
+    """Return the head of a request with `count` short fields of different names, and a body of 1,000 bytes."""
+    names = ("".join(name) for name in itertools.product("abcdefghijklmnopqrstuvwxyz", repeat=3))
+    own = [
+        "Host: a",
+        "X-Call-Id: c",
+        "X-Call-Class: plain",
+        "X-Caller: acme",
+        "X-Budget: 60",
+        "Content-Length: 1000",
+    ]
+    fields = [*own, *(f"{name}:{name}" for name in itertools.islice(names, count - len(own)))]
+    return b"POST /v1/chat/completions HTTP/1.1\r\n" + "\r\n".join(fields).encode() + b"\r\n\r\n"
+
+
+# Guards against a node that is killed for its memory: a head of very many short fields takes many times its bytes.
+@pytest.mark.parametrize(("fields", "is_answered"), [(128, False), (1_600, True)])
+def test_clients_that_stop_after_a_head_of_many_fields_take_little_memory(
+    fields: int, is_answered: bool
+) -> None:
+    async def go() -> None:
+        async with counted_platform({}, m0=answer_decode) as (p, held):
+            before, clients = held.count(), []
+            for _ in range(CLIENTS):
+                reader, writer = await p.connect()
+                writer.write(head_of_many_fields(fields) + b'{"x":"')
+                clients.append((reader, writer))
+            if is_answered:
+                for reader, _ in clients:
+                    assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 431")
+            else:
+                await until(
+                    lambda: sum(link.side.is_mid_request for link in p.relay.front.server.links) == CLIENTS
+                )
+            grown = held.count() - before
+            assert grown <= CLIENTS * UNRESERVED_CONNECTION_BYTES, f"{grown} bytes"
+            for _, writer in clients:
+                writer.close()
+
+    run(go)
--- a/tests/rpc/test_small_parts.py
+++ b/tests/rpc/test_small_parts.py
@@ -153,7 +153,9 @@
     head = b"POST /large HTTP/1.1\r\nhost: x\r\n" + b"a:b\r\n" * fields + b"content-length: %d\r\n\r\n"
 
     async def go() -> None:
-        server = HttpServer(answer_length, lambda call: None, HttpLimits(body_bytes=262_144))
+        server = HttpServer(
+            answer_length, lambda call: None, HttpLimits(header_fields=2_048, body_bytes=262_144)
+        )
         await server.listen()
         read_fields = Work(monkeypatch, h1, "_fields", len)
         handled: list[int] = []
@@ -263,7 +265,7 @@
 # Guards against a body that takes many times its size of memory because of its small chunks.
 def test_a_body_in_small_chunks_takes_no_more_memory_than_its_bytes() -> None:
     body_bytes, chunk = 40_000, b"2\r\nxy\r\n"
-    side = ServerSide(16_384, 262_144)
+    side = ServerSide(16_384, 128, 262_144)
     side.receive(CHUNKED_HEAD)
     side.next()
     piece = chunk * 1_000
--- a/tuliptrack/rpc/h1.py
+++ b/tuliptrack/rpc/h1.py
@@ -80,8 +80,9 @@
 class ServerSide:
     """One connection of a server. After each `receive`, call `next` until it returns None."""
 
-    def __init__(self, header_bytes: int, body_bytes: int) -> None:
+    def __init__(self, header_bytes: int, header_fields: int, body_bytes: int) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=header_bytes)
+        self.header_fields = header_fields
         self.body_bytes = body_bytes
         # One buffer, not a list of parts: an object for each part would cost many times the bytes of a body
         # in small chunks.
@@ -131,6 +132,9 @@
         except h11.RemoteProtocolError as error:
             raise ProtocolError(error.error_status_hint, f"request: {error}") from None
         if isinstance(event, h11.Request):
+            if len(event.headers) > self.header_fields:
+                reason = f"request: {len(event.headers)} header fields, {self.header_fields} allowed"
+                raise ProtocolError(431, reason)
             fields = _fields(event.headers)
             names = [name for name, _ in fields]
             if "content-length" in names and "transfer-encoding" in names:
--- a/tuliptrack/rpc/http1_call.py
+++ b/tuliptrack/rpc/http1_call.py
@@ -19,6 +19,8 @@
     """Sizes in bytes, times in microseconds."""
 
     header_bytes: int = 16_384
+    header_fields: int = 128
+    """Maximum number of fields of a request's head. Parsed, a field of a few bytes takes some hundred."""
     body_bytes: int = 4_194_304
     pending_high: int = 32_768
     request_timeout: int = 10_000_000
--- a/tuliptrack/rpc/http1_connection.py
+++ b/tuliptrack/rpc/http1_connection.py
@@ -95,7 +95,8 @@
 
     def __init__(self, server: ConnectionOwner) -> None:
         self.server, self.loop = server, server.loop
-        self.side = ServerSide(server.limits.header_bytes, server.limits.body_bytes)
+        limits = server.limits
+        self.side = ServerSide(limits.header_bytes, limits.header_fields, limits.body_bytes)
         self.transport: asyncio.Transport
         self.call: HttpCall | None = None
         """The request that is being answered."""
