A list is not lost for one value that is nested too deeply

Callers: none; an engine got new work past its drain grace.

Cause: one entry of the list held a value nested 2,000 deep. Python 3.11 raises RecursionError beyond some 1,000 levels, and the whole list was given up, with the drain in it; the node's log has 'maximum recursion depth exceeded'. Python 3.12 and later go deeper, so that it depends on the interpreter. Now values below 64 levels are replaced by null where, and only where, the parser gives up, in one pass over the text.

Of test_hostile_lists, 6 new cases were red (2,000 and 50,000 levels in three fields: the list was not applied within 6 s) and are green. Settings and clients' bodies are parsed as before.

--- a/tests/relay/test_hostile_lists.py
+++ b/tests/relay/test_hostile_lists.py
@@ -102,16 +102,21 @@
 
 
 @pytest.mark.parametrize("field", ["size", "up_since_ms", "cell"])
-@pytest.mark.parametrize("digits", [400, 5_000])
+@pytest.mark.parametrize(
+    "value",
+    ["1" + "0" * 400, "1" + "0" * 5_000, "[" * 2_000 + "]" * 2_000, "[" * 50_000 + "]" * 50_000],
+    ids=["400 digits", "5,000 digits", "nested 2,000 deep", "nested 50,000 deep"],
+)
 def test_no_request_reaches_an_engine_that_drains_by_a_list_with_a_hostile_entry(
-    field: str, digits: int
+    field: str, value: str
 ) -> None:
-    """The agent's lists have an entry with a number beyond the range of floats or beyond Python's limit on digits."""
+    """The agent's lists have an entry with a number beyond the range of floats or beyond Python's limit on digits, or
+    with a value that is nested too deeply for Python's parser.
+    """
 
     async def go() -> None:
         async with platform(r0=answer_prefill, r1=answer_prefill, r2=answer_prefill, w0=answer_decode) as p:
-            number = "1" + "0" * digits
-            hostile = json.dumps({**entry("hostile"), field: "NUMBER"}).replace('"NUMBER"', number)
+            hostile = json.dumps({**entry("hostile"), field: "VALUE"}).replace('"VALUE"', value)
 
             async def answer(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
                 body = json.dumps({"revision": p.revision, "complete": True, "members": p.members()})
--- a/tests/rpc/test_json_text.py
+++ b/tests/rpc/test_json_text.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies as st
 from json_values import any_json
 
-from tuliptrack.rpc.json_text import InvalidJsonError, is_number_within, parse_json
+from tuliptrack.rpc.json_text import InvalidJsonError, is_number_within, parse_json, parse_json_pruned
 
 
 @given(text=st.text() | st.binary() | st.text('[]{}":,0123456789.eE+-truefalsn'))
@@ -31,6 +31,22 @@
         parse_json(text)
 
 
+def test_a_value_that_is_nested_too_deeply_does_not_affect_other_values() -> None:
+    for deep in ("[" * 100_000 + "]" * 100_000, '{"a":' * 100_000 + "1" + "}" * 100_000):
+        text = f'{{"a": {deep}, "b": ["]", "\\"[", 7], "c": [{deep}]}}'
+        for form in (text, text.encode()):
+            value = parse_json_pruned(form)
+            assert isinstance(value, dict) and value["b"] == ["]", '"[', 7] and len(value["c"]) == 1
+
+
+@pytest.mark.parametrize(
+    "text", ["[" * 100_000, "[" * 100_000 + '"' + '\\"' * 100_000, '{"a":' * 100_000, "]", '["\\']
+)
+def test_pruning_makes_no_text_valid_and_takes_one_pass(text: str) -> None:
+    with pytest.raises(InvalidJsonError):
+        parse_json_pruned(text)
+
+
 def test_a_number_with_too_many_digits_does_not_affect_other_values() -> None:
     digits = "9" * 5_000
     assert parse_json(f'{{"a": {digits}, "b": 7, "c": -{digits}}}') == {"a": math.inf, "b": 7, "c": -math.inf}
--- a/tuliptrack/relay/agent_polls.py
+++ b/tuliptrack/relay/agent_polls.py
@@ -37,7 +37,7 @@
 from tuliptrack.rpc.http1_client import ClientOptions
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
 from tuliptrack.rpc.http1_pool import ConnectionBudget, Pool
-from tuliptrack.rpc.json_text import InvalidJsonError, parse_json
+from tuliptrack.rpc.json_text import InvalidJsonError, parse_json_pruned
 
 __all__ = ["MAX_POLLS_PER_AGENT", "AgentPolls", "FaultHandler", "ListHandler"]
 
@@ -93,7 +93,7 @@
             raise OSError(self.failure)
         if self.exchange.status != _HTTP_OK:
             raise OSError(f"answered {self.exchange.status}")
-        return parse_json(bytes(self.body))
+        return parse_json_pruned(bytes(self.body))
 
 
 class AgentPolls:
--- a/tuliptrack/rpc/json_text.py
+++ b/tuliptrack/rpc/json_text.py
@@ -2,24 +2,47 @@
 
 Python's parser raises errors of other types for text that is nested too deeply and for integers with too many
 digits. A caller that expects only `json.JSONDecodeError` would fail with them, or reject a complete message
-for one number that it does not use. Here such an integer becomes an infinity, which no range contains.
+for one number that it does not use. Here such an integer becomes an infinity, which no range contains, and
+`parse_json_pruned` replaces values that are nested too deeply.
 """
 
 from __future__ import annotations
 
 import json
 import math
+import re
 from typing import Any
 
-__all__ = ["InvalidJsonError", "is_number_within", "parse_json"]
+__all__ = ["InvalidJsonError", "is_number_within", "parse_json", "parse_json_pruned"]
 
 MAX_REASON_CHARACTERS = 200
+MAX_KEPT_DEPTH = 64
+"""Number of levels that are kept of a text that is nested too deeply."""
+_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)|[\[\]{}]', re.DOTALL)
+"""A string, or the begin or the end of an array or an object. A string without an end reaches to the end of the
+text, so that it is searched once."""
 
 
 class InvalidJsonError(ValueError):
     """The text is not valid JSON, or is nested too deeply."""
 
 
+class NestedTooDeeplyError(InvalidJsonError):
+    """The text is nested too deeply for Python's parser, whose limit depends on its version."""
+
+
+def parse_json_pruned(text: str | bytes) -> Any:
+    """Return the value of a JSON text; of one that is nested too deeply, deep values are replaced by None.
+
+    Raises:
+        InvalidJsonError: The text is not valid JSON.
+    """
+    try:
+        return parse_json(text)
+    except NestedTooDeeplyError:
+        return parse_json(_prune(text.decode() if isinstance(text, bytes) else text))
+
+
 def parse_json(text: str | bytes) -> Any:
     """Return the value of a JSON text.
 
@@ -49,11 +72,32 @@
 def _load(text: str | bytes, **options: Any) -> Any:
     try:
         return json.loads(text, **options)
-    except (json.JSONDecodeError, UnicodeDecodeError, RecursionError, MemoryError) as error:
+    except RecursionError as error:
+        raise NestedTooDeeplyError(str(error)[:MAX_REASON_CHARACTERS]) from None
+    except (json.JSONDecodeError, UnicodeDecodeError, MemoryError) as error:
         reason = str(error) or type(error).__name__
         raise InvalidJsonError(reason[:MAX_REASON_CHARACTERS]) from None
 
 
+def _prune(text: str) -> str:
+    """Return a text with `null` in place of each array and object below `MAX_KEPT_DEPTH` levels."""
+    kept: list[str] = []
+    depth, kept_from = 0, 0
+    for token in _TOKEN.finditer(text):
+        if token[0] in "[{":
+            depth += 1
+            if depth == MAX_KEPT_DEPTH + 1:
+                kept.append(text[kept_from : token.start()])
+        elif token[0] in "]}":
+            depth -= 1
+            if depth == MAX_KEPT_DEPTH:
+                kept.append("null")
+                kept_from = token.end()
+    if depth <= MAX_KEPT_DEPTH:
+        kept.append(text[kept_from:])
+    return "".join(kept)
+
+
 def _integer_or_infinity(digits: str) -> int | float:
     try:
         return int(digits)
