Soak: clients set the size of their receive buffer before they connect

Traced: the node ended the stream 4.70 s after the last event, with all of it in its buffers; the client, whose buffer was made smaller than what it already held, took 3.2 s after its rest to read on. Set before the connect, the window is small from the start. A kept connection does not carry its rest into the next answer any more.

--- a/tuliptrack/lab/soak/client.py
+++ b/tuliptrack/lab/soak/client.py
@@ -34,7 +34,8 @@
 """How long a client waits for the end of an answer that has begun."""
 _READS_LATE_SHARE = 0.5
 """Share of the answers that clients read late, while that fault lasts."""
-_SMALL_BUFFER_BYTES = 32_768
+_RECEIVE_BUFFER_BYTES = 32_768
+"""Size of the kernel's receive buffer, so that a node feels it when a client does not read."""
 _STALL_S = 3.5
 _READER_LIMIT_BYTES = 1 << 20
 _REFUSED = 503
@@ -60,11 +61,8 @@
             self.held_back = max(self.held_back, now - float(written))
 
     async def rest(self, seconds: float) -> None:
-        """Leave the answer unread for some time, with little room for it in the kernel."""
+        """Leave the answer unread for some time."""
         transport = self.writer.transport
-        transport.get_extra_info("socket").setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
-        )
         transport.pause_reading()  # type: ignore[attr-defined]
         await asyncio.sleep(seconds)
         self.rested_until = asyncio.get_running_loop().time()
@@ -205,9 +203,7 @@
             kept.close()
         host, _, port = self.world.nodes[node].rpartition(":")
         try:
-            return _Connection(
-                *await asyncio.open_connection(host, int(port), limit=_READER_LIMIT_BYTES)
-            ), False
+            return _Connection(*await _open_connection(host, int(port))), False
         except OSError:
             return None, False
 
@@ -229,7 +225,7 @@
         in time keeps its status and is not complete.
         """
         timeout = budget + _WAIT_AFTER_DEADLINE_S if leaves_after is None else min(leaves_after, budget)
-        connection.status, connection.held_back = -1, 0.0
+        connection.status, connection.held_back, connection.rested_until = -1, 0.0, 0.0
         try:
             connection.writer.write(data)
             fields = await asyncio.wait_for(self._read_head(connection), timeout)
@@ -264,7 +260,6 @@
             return status, True, is_reusable
         if rest_s := self._rest_s():
             await connection.rest(rest_s)
-            is_reusable = False  # Its buffer stays small.
         try:
             while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
                 data = await reader.readexactly(size + 2)
@@ -274,3 +269,16 @@
         except (asyncio.IncompleteReadError, OSError, ValueError):
             return status, False, False
         return status, True, is_reusable
+
+
+async def _open_connection(host: str, port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Connect with a receive buffer of limited size, which has to be set before. Raises OSError."""
+    sock = socket.socket()
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES)
+    try:
+        await asyncio.get_running_loop().sock_connect(sock, (host, port))
+        return await asyncio.open_connection(sock=sock, limit=_READER_LIMIT_BYTES)
+    except BaseException:
+        sock.close()
+        raise
