What arrives in a pause is dated when it is first seen, not by the last byte of it

Callers: a client that rested waited its rest longer for the end of a stream whose engine, after its last event, still sent what is no event.

Cause: at the end of a pause all that waited was dated by the last byte that had arrived, a ping.

--- a/tests/relay/test_stream_idle_timeout.py
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -288,6 +288,10 @@
 
     in_time = {f"rests-{rest_s}": large(rest_before_reading(rest_s)) for rest_s in (1, 2, 4)}
     in_time["slow-reader"] = large(read_slowly)
+    pings = repeat(b"event: ping\n\n")
+    for rest_s in (1, 3):
+        stream = Stream(then(events(*LARGE_ANSWER), pings, stay_silent), rest_before_reading(rest_s))
+        in_time[f"rests-{rest_s}-beside-pings"] = stream
     too_late = {f"rests-{rest_s}": (rest_s, large(rest_before_reading(rest_s))) for rest_s in (6, 8)}
     play(tmp_path, in_time | {name: stream for name, (_, stream) in too_late.items()})
     check_let_go(in_time)
--- a/tuliptrack/decisions/stream_idle.py
+++ b/tuliptrack/decisions/stream_idle.py
@@ -49,7 +49,7 @@
     catch_up_us: int = 500_000
     """Minimum time after a pause for output that the pause has held up."""
     recheck_us: int = 250_000
-    """Time after which a stream is checked again if its verdict depends on what its connection holds."""
+    """Interval of the checks during a pause, when the verdict depends on what waits unread."""
 
 
 @dataclass(slots=True)
@@ -119,11 +119,10 @@
 
     def check_at_us(self, now_us: int, limits: StreamLimits) -> int:
         """Return when to ask for the verdict, unless the client pauses or resumes the stream before."""
-        idle_at_us = self._idle_at_us(limits)
         if not self.paused_at_us:
-            return idle_at_us
+            return self._idle_at_us(limits)
         stalled_at_us = self.paused_at_us + limits.max_client_stall_us
-        return min(stalled_at_us, idle_at_us if now_us < idle_at_us else now_us + limits.recheck_us)
+        return min(stalled_at_us, now_us + limits.recheck_us)
 
     def _idle_at_us(self, limits: StreamLimits) -> int:
         """Return when the engine has been idle for too long, unless another event arrives."""
--- a/tuliptrack/node/attempt_call.py
+++ b/tuliptrack/node/attempt_call.py
@@ -28,8 +28,11 @@
     def mark_doubtful(self) -> None:
         """Treat the attempt's connection and host, silent for too long, as unreliable until they answer."""
 
-    def has_unread(self) -> bool:
-        """Return whether output of the engine waits to be read, because the attempt is paused."""
+    def sample_unread(self) -> bool:
+        """Return whether output of the engine waits to be read, because the attempt is paused.
+
+        It has to be called regularly during a pause, as it also dates what has arrived since the last call.
+        """
 
     def pause(self) -> None:
         """Stop reading the answer until `resume` is called."""
--- a/tuliptrack/node/grpc_engine_client.py
+++ b/tuliptrack/node/grpc_engine_client.py
@@ -67,7 +67,7 @@
     def mark_doubtful(self) -> None:
         """Do nothing: the connection itself detects that it is silent (`rpc/arrival.py`)."""
 
-    def has_unread(self) -> bool:
+    def sample_unread(self) -> bool:
         """Return whether the call is paused: the engine may have filled the stream window meanwhile."""
         return self.call.paused
 
--- a/tuliptrack/node/stream_monitor.py
+++ b/tuliptrack/node/stream_monitor.py
@@ -46,7 +46,7 @@
         """Resume the stream of a client that has read the output that was waiting for it."""
         call = record.attempt.call if record.attempt else None
         if record.stream.paused_at_us and call:
-            record.stream.resume(self._core.now(), self._core.limits.streams, call.has_unread())
+            record.stream.resume(self._core.now(), self._core.limits.streams, call.sample_unread())
             call.resume()
             self._schedule_check(record)
 
@@ -64,7 +64,7 @@
         call = record.attempt.call if record.attempt else None
         if record.state is not RequestState.STREAMING or call is None:
             return
-        verdict = record.stream.verdict(self._core.now(), self._core.limits.streams, call.has_unread())
+        verdict = record.stream.verdict(self._core.now(), self._core.limits.streams, call.sample_unread())
         if verdict is StreamVerdict.CONTINUES:
             self._schedule_check(record)
             return
--- a/tuliptrack/relay/http_attempt.py
+++ b/tuliptrack/relay/http_attempt.py
@@ -110,9 +110,9 @@
         """Rely on neither the attempt's connection nor its engine until they send something."""
         self.exchange.doubt()
 
-    def has_unread(self) -> bool:
-        """Return whether the kernel holds bytes of the answer."""
-        return self.exchange.has_unread()
+    def sample_unread(self) -> bool:
+        """Date what the kernel holds of the answer; return whether it holds any."""
+        return self.exchange.sample_unread()
 
     def pause(self) -> None:
         """Read no more of the answer for now."""
--- a/tuliptrack/rpc/arrival_times.py
+++ b/tuliptrack/rpc/arrival_times.py
@@ -17,6 +17,8 @@
 
 _MAX_READS = 16
 """Reads that are dated separately; later ones share the date of the last one, which is then too early."""
+_MAX_SAMPLES = 256
+"""Samples of input that is held up; a later one takes the place of the last."""
 
 
 @dataclass(slots=True)
@@ -67,24 +69,38 @@
 
 
 class HeldUpInput:
-    """The arrival time of what a connection received while it was not read, in monotonic microseconds.
+    """The arrival times of what a connection receives while it is not read, in monotonic microseconds.
 
-    `ArrivalTimes` dates such bytes too early if in doubt, this class too late: by the last that arrived.
+    `ArrivalTimes` dates such bytes too early if in doubt, this class too late: by the last bytes that had arrived
+    when `sample` first saw them. It has to be called now and then, or what arrives last dates all the rest.
     """
 
-    __slots__ = ("_arrived_at_us", "_unread_bytes")
+    __slots__ = ("_parts", "_read_bytes")
 
     def __init__(self) -> None:
-        self._unread_bytes = 0
-        self._arrived_at_us = 0
-
-    def reading_resumed(self, unread_bytes: int, last_arrival_us: int) -> None:
-        """Note that the connection is read again; the latest of its unread bytes arrived at `last_arrival_us`."""
-        self._unread_bytes, self._arrived_at_us = unread_bytes, last_arrival_us
+        self._parts: deque[_Read] = deque()
+        """What is unread, by its date; at most `_MAX_SAMPLES`."""
+        self._read_bytes = 0
+
+    def sample(self, unread_bytes: int, last_arrival_us: int) -> None:
+        """Note how many bytes are unread now, and when the latest of them arrived."""
+        end = self._read_bytes + unread_bytes
+        if end <= (self._parts[-1].end if self._parts else self._read_bytes):
+            return
+        if len(self._parts) == _MAX_SAMPLES:
+            self._parts.pop()
+        self._parts.append(_Read(end, last_arrival_us))
+
+    def read_size(self, maximum: int) -> int:
+        """Return how much to read next, so that all of it has one date."""
+        return min(maximum, self._parts[0].end - self._read_bytes) if self._parts else maximum
 
     def arrived_at_us(self, size: int) -> int | None:
         """Return when the next `size` bytes arrived by the latest; None if they were not held up."""
-        if self._unread_bytes <= 0:
+        if not self._parts:
             return None
-        self._unread_bytes -= size
-        return self._arrived_at_us
+        arrived_at_us = self._parts[0].arrived_at_us
+        self._read_bytes += size
+        while self._parts and self._parts[0].end <= self._read_bytes:
+            self._parts.popleft()
+        return arrived_at_us
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -14,9 +14,14 @@
 from tuliptrack.rpc.arrival_times import HeldUpInput
 from tuliptrack.rpc.h1 import BodyPart, ClientSide, ProtocolError, ResponseEnd, ResponseHead
 from tuliptrack.rpc.http1_exchange import Exchange, ExchangeOutcome
-from tuliptrack.rpc.input_scheduler import EVENT_BYTES_PER_UNIT, FIELDS_PER_UNIT, QUANTUM, InputScheduler
+from tuliptrack.rpc.input_scheduler import (
+    EVENT_BYTES_PER_UNIT,
+    FIELDS_PER_UNIT,
+    QUANTUM,
+    READ_BYTES,
+    InputScheduler,
+)
 from tuliptrack.rpc.tcp import (
-    has_unread,
     is_closed_by_peer,
     is_established,
     last_arrival_us,
@@ -147,7 +152,7 @@
         return self.transport.get_write_buffer_size()
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._inputs.read_buffer
+        return self._inputs.read_buffer[: self._held_up.read_size(READ_BYTES)]
 
     def buffer_updated(self, size: int) -> None:
         self.owner.mark_heard()
@@ -246,17 +251,20 @@
         """
         return self.transport.is_closing() or is_closed_by_peer(self.transport)
 
-    def has_unread(self) -> bool:
-        """Whether bytes were received that are not processed yet."""
-        return self.has_input() or has_unread(self.transport)
+    def sample_unread(self) -> bool:
+        """Date the bytes that were received and are not read yet; return whether there are any."""
+        size = unread_bytes(self.transport)
+        if self._is_held:
+            self._held_up.sample(size, last_arrival_us(self.transport))
+        return size > 0 or self.has_input()
 
     def pause(self) -> None:
         self._is_held = True
+        self.sample_unread()
         self._update_reading()
 
     def resume(self) -> None:
-        if self._is_held:
-            self._held_up.reading_resumed(unread_bytes(self.transport), last_arrival_us(self.transport))
+        self.sample_unread()
         self._is_held = False
         self._update_reading()
 
--- a/tuliptrack/rpc/http1_exchange.py
+++ b/tuliptrack/rpc/http1_exchange.py
@@ -42,8 +42,8 @@
 
     def resume(self) -> None: ...
 
-    def has_unread(self) -> bool:
-        """Whether bytes were received that are not read yet."""
+    def sample_unread(self) -> bool:
+        """Date the bytes that were received and are not read yet; return whether there are any."""
 
     def doubt(self, since: float) -> None:
         """Note that an answer is overdue: nothing was received since `since`, on the loop's clock."""
@@ -139,9 +139,9 @@
         if self.carrier and self.sent and not self.heard:
             self.carrier.doubt(self.sent_at)
 
-    def has_unread(self) -> bool:
-        """Whether bytes of the answer were received that are not read yet."""
-        return self.carrier is not None and self.carrier.has_unread()
+    def sample_unread(self) -> bool:
+        """Date the bytes of the answer that were received and are not read yet; return whether there are any."""
+        return self.carrier is not None and self.carrier.sample_unread()
 
     def pause(self) -> None:
         """Stop reading the answer until `resume`."""
