A request that waited for its connection to be accepted is dated by its arrival

Callers: an engine was told more time than its client had, where a new connection waited 0.33 to 0.43 s in the listener's queue: 260 idle clients came at once, and a fifth of the system calls failed.

Cause: the bytes of a new connection were dated by the loop's polls, and the listener's queue is not polled while accept fails. Now what is there as a connection is accepted is dated by the kernel (tcpi_last_data_recv).

--- a/tests/relay/test_deadlines.py
+++ b/tests/relay/test_deadlines.py
@@ -7,6 +7,7 @@
 import pytest
 from relay_harness import (
     FINAL_EVENTS,
+    SETTINGS,
     STREAM_HEAD,
     TOKEN_EVENTS,
     Platform,
@@ -142,3 +143,30 @@
             writer.close()
 
     run(go, virtual=True)
+
+
+# Guards against a client's time that is counted from when its connection was accepted, not from its request.
+def test_a_request_that_waited_for_its_connection_to_be_accepted_states_what_is_left() -> None:
+    async def go() -> None:
+        stated = StatedDeadlines()
+        engine = stated.recording(answer_decode, failures=0, after_s=0.0)
+        patient = {
+            **SETTINGS["classes"][0],
+            "promise": 60_000_000,
+        }  # The attempt may take all the time that is left.
+        async with platform({"settings": {"classes": [patient]}}, m0=engine) as p:
+            listener = p.relay.front.server._listener
+            assert listener
+            listener._pause()  # As after an error of `accept`; it is resumed by hand.
+            assert listener._resume_timer
+            listener._resume_timer.cancel()
+            reader, writer = await p.connect()
+            stated.started_at = asyncio.get_running_loop().time()
+            writer.write(request("waits", budget=str(BUDGET_S)))
+            await asyncio.sleep(4 * TOLERANCE_S)
+            listener._resume()
+            assert (await read_reply(reader)).is_complete
+            writer.close()
+            assert len(stated.attempts) == 1 and stated.excess() < TOLERANCE_S, stated.attempts
+
+    run(go)
--- a/tuliptrack/rpc/http1_connection.py
+++ b/tuliptrack/rpc/http1_connection.py
@@ -45,7 +45,7 @@
     REQUEST_WORK,
     InputScheduler,
 )
-from tuliptrack.rpc.tcp import has_unread, set_nodelay
+from tuliptrack.rpc.tcp import has_unread, last_arrival_us, set_nodelay
 
 __all__ = ["LINGER_S", "ConnectionOwner", "ServerConnection"]
 
@@ -137,6 +137,8 @@
             transport.abort()
             return
         set_nodelay(transport)
+        if has_unread(transport):  # A request came while the connection waited to be accepted.
+            self._arrivals.reading_paused(last_arrival_us(transport))
         transport.set_write_buffer_limits(high=self.server.limits.pending_high)
         if (sock := transport.get_extra_info("socket")) is not None:  # Bounds the kernel's buffer too.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER)
