Connections to engines have room for a whole answer, so that a pause holds up no engine

Callers: a client that rested before an answer of 240 kB waited its rest longer, as before the fix of the pauses; 208 kB, as the test had, fitted into the buffers.

Cause: the window of the engine's connection was full, so that its last events arrived after the pause, and were dated then.

--- a/tests/relay/test_stream_idle_timeout.py
+++ b/tests/relay/test_stream_idle_timeout.py
@@ -38,7 +38,7 @@
 NON_EVENT_PERIOD_S = 0.5
 NON_EVENT_COUNT = 20
 LARGE_EVENT = b'data: {"x":"' + b"y" * 16_000 + b'"}\n\n'
-LARGE_ANSWER = [LARGE_EVENT] * 13
+LARGE_ANSWER = [LARGE_EVENT] * 15
 """More than the buffers between an engine and a client that does not read, and less than an answer may have."""
 CATCH_UP_S = 0.5
 """Time after a rest within which a client is let go if its engine has stopped meanwhile."""
--- a/tuliptrack/relay/node.py
+++ b/tuliptrack/relay/node.py
@@ -276,6 +276,7 @@
         connect_timeout=config.settings.connect_timeout_us,
         idle=max(idle_timeout_us - IDLE_MARGIN_US, idle_timeout_us // 2),
         body_bytes=MAX_BODY_BYTES,
+        receive_bytes=MAX_BODY_BYTES,
         write_bytes=memory.engine_write,
     )
     return EnginePools(options, ConnectionBudget(max_connections))
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -26,6 +26,7 @@
     is_established,
     last_arrival_us,
     set_nodelay,
+    set_receive_buffer,
     unread_bytes,
 )
 
@@ -44,6 +45,9 @@
     """How long after an answer a connection is not reused: bytes that arrive in that time are unsolicited."""
     header_bytes: int = 16_384
     body_bytes: int = 262_144
+    receive_bytes: int = 0
+    """Size of the kernel's receive buffer; 0: as the system sets it. With room for a whole answer, a peer can
+    write on while the exchange is paused, and what it has written is known by when it arrived."""
     write_bytes: int = 65_536
     """How much of a request waits in the write buffer of a connection; the rest stays in the exchange's body."""
 
@@ -104,6 +108,8 @@
         self.transport, self.connected = transport, True
         self.opened_at = self.owner.loop.time()
         set_nodelay(transport)
+        if self.owner.options.receive_bytes:
+            set_receive_buffer(transport, self.owner.options.receive_bytes)
         # `resume_writing` is then called once all that the transport has is written.
         transport.set_write_buffer_limits(high=0)
 
--- a/tuliptrack/rpc/tcp.py
+++ b/tuliptrack/rpc/tcp.py
@@ -17,6 +17,7 @@
     "is_established",
     "last_arrival_us",
     "set_nodelay",
+    "set_receive_buffer",
     "unread_bytes",
 ]
 
@@ -69,6 +70,16 @@
             pass  # The connection was reset meanwhile.
 
 
+def set_receive_buffer(transport: asyncio.BaseTransport, size: int) -> None:
+    """Set the size of the kernel's receive buffer, in bytes, as far as the system allows it."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        except OSError:
+            pass  # The connection was reset meanwhile.
+
+
 def has_unread(transport: asyncio.BaseTransport) -> bool:
     """Whether bytes were received that the loop has not read yet; False if that is unknown."""
     return unread_bytes(transport) > 0
