--- a/tests/relay/test_discovery.py
+++ b/tests/relay/test_discovery.py
@@ -11,6 +11,7 @@
 
 import pytest
 from relay_harness import (
+    SETTINGS,
     Peer,
     Platform,
     ReceivedRequest,
@@ -154,6 +155,35 @@
     run(go, 60, virtual=True)
 
 
+# Guards against drains that are never heeded: no poll lived as long as a slow agent takes to answer.
+@pytest.mark.parametrize("drain_grace_us", [250_000, 500_000, 2_000_000])
+@pytest.mark.parametrize("answer_s", [1.5, 2.2])
+def test_a_drain_is_followed_through_an_agent_whose_whole_answers_come_late(
+    answer_s: float, drain_grace_us: int
+) -> None:
+    async def go() -> None:
+        obligations = {**SETTINGS["obligations"], "drainGrace": drain_grace_us}
+        async with platform(
+            {"settings": {"obligations": obligations}},
+            r0=answer_prefill,
+            r1=answer_prefill,
+            w0=answer_decode,
+            w1=answer_decode,
+        ) as p:
+            answer_poll = p.agent.script
+
+            async def answer_late(received: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+                await asyncio.sleep(answer_s)
+                await answer_poll(received, writer)
+
+            await until(lambda: len(p.agent.all_received) > 1)
+            p.agent.script = answer_late
+            await asyncio.sleep(3 * answer_s)
+            await assert_drain_is_followed(p)
+
+    run(go, 60, virtual=True)
+
+
 @pytest.mark.parametrize("new", ["down", "silent"])
 def test_a_new_agent_that_sends_no_list_does_not_replace_the_followed_one(new: str) -> None:
     """The settings name a new agent that is down or silent. The node goes on polling the old one until the new one has
--- a/tuliptrack/relay/agent_polls.py
+++ b/tuliptrack/relay/agent_polls.py
@@ -5,9 +5,9 @@
 within `LONG_POLL_GRACE_SHARE` of the drain grace, with an empty delta if nothing changes. If there is no
 answer after a further `LATE_GRACE_SHARE`, the next poll starts in parallel on another connection, and one
 more after each such time-out. The earlier polls continue: a connection may be established slowly, an answer
-may arrive in small pieces, or this process may be late to read it. With `MAX_POLLS_PER_AGENT` open, the poll
-that has received nothing for longest is cancelled; no poll lasts longer than `MAX_POLL_S`, including its
-connection.
+may arrive late or in small pieces, or this process may be late to read it. With `MAX_POLLS_PER_AGENT` open,
+the poll that has received nothing for longest is cancelled, but not one of the `PATIENT_POLLS` oldest; no
+poll lasts longer than `MAX_POLL_S`, including its connection.
 
 The time that a change takes to arrive is bounded once the agent is reachable, which means that the agent
 answers a poll in full within `MAX_POLL_S`. In the worst case all `MAX_POLLS_PER_AGENT` polls are open, each
@@ -51,6 +51,8 @@
 before the next poll, jittered by 50 % either way."""
 MAX_POLLS_PER_AGENT = 8
 """Maximum number of polls open at once, each on a connection of its own."""
+PATIENT_POLLS = MAX_POLLS_PER_AGENT // 2
+"""Number of the oldest open polls that are not replaced: an agent may take up to `MAX_POLL_S` to answer."""
 MAX_POLL_S = 2.5
 """Maximum duration of a poll: two polls and a backoff fit into the 6 s within which the platform expects a
 list to be applied."""
@@ -222,14 +224,15 @@
             self._cancel(poll)
 
     def _cancel_silent_poll_at_limit(self) -> None:
-        """If the maximum of polls is open, cancel the one that has received nothing for longest."""
+        """If the maximum of polls is open, cancel the younger one that has received nothing for longest."""
         # While the agent's machine is cut off from the network, no open poll is answered or fails. A new poll
         # could start only once one of them reaches `MAX_POLL_S`, and the list would stay old after the agent
         # is back. A poll that is late and silent is replaced; one that still receives data is kept, since it
-        # may deliver the list.
+        # may deliver the list. The oldest are kept too: with a short grace the others live less long than a
+        # slow agent takes to answer, and none would ever be answered.
         if len(self._open_polls) < MAX_POLLS_PER_AGENT:
             return
-        silent = min(self._open_polls, key=lambda poll: poll.last_received_at)
+        silent = min(self._open_polls[PATIENT_POLLS:], key=lambda poll: poll.last_received_at)
         if self._loop.time() - silent.last_received_at >= self._poll_timeout_s:
             self._cancel(silent)
 
