--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -5,25 +5,33 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass, field
 from itertools import pairwise
 from typing import Any
 
+from tuliptrack.lab.soak.evidence import (
+    NODE_PAUSE_S,
+    SHUTDOWN_S,
+    CrowdSpans,
+    FaultSpans,
+    ProcessEnds,
+    Request,
+    collect_requests,
+)
 from tuliptrack.lab.soak.run_queue import RunQueueWaits
 from tuliptrack.lab.soak.schedule import FaultKind
 from tuliptrack.lab.soak.settings import DRAIN_GRACE_S, REPEAT_WINDOW_S, SLACK_S, World
 from tuliptrack.lab.soak.slow_start import check_slow_starts
+from tuliptrack.lab.soak.stream_checks import (
+    check_events,
+    check_idle_streams,
+    check_slow_streams,
+    check_streams,
+)
 from tuliptrack.lab.soak.violation import Violation
 
 __all__ = ["judge"]
 
 _AFTER_DISCONNECT_S, _DEADLINE_SLACK_S, _ANSWER_SLACK_S, _STALLED_CLIENT_S = 0.1, 0.15, 0.5, 3.0
-_NODE_PAUSE_S = 0.15
-_MAX_WAIT_AFTER_EVENT_S = 5.05
-_MAX_WAIT_AFTER_REST_S = 1.0
-"""Time after a rest within which a client has all that its engine wrote, and is let go."""
-_MAX_EVENT_DELAY_S = 0.3
-_LOSS_AFTER_SIGTERM_S = 0.7
 _LONG_DELAY_S = 0.1
 _DECODE_ROLES = "wm"  # first letters of engines at which a request may have its effect
 _UNRESPONSIVE_KINDS = {
@@ -37,74 +45,23 @@
     )
 }
 """Faults during which an engine answers nothing."""
-_TOLERATED_KINDS = {
-    kind.value
-    for kind in (
-        FaultKind.SIGNALS,
-        FaultKind.HOSTILE_LIST,
-        FaultKind.HOSTILE_ADVICE,
-        FaultKind.CROWD,
-        FaultKind.STREAM_STOPS,
-        FaultKind.STREAM_SLOW,
-        FaultKind.STREAM_NO_EVENTS,
-        FaultKind.READ_LATE,
-    )
-}
-"""Faults that excuse no violation: a node must tolerate them without losing anything."""
-_HARMLESS_TO_STREAMS = frozenset(
-    kind.value
-    for kind in (
-        FaultKind.NODE_HELD_UP,
-        FaultKind.NODE_RELOADS,
-        FaultKind.CLOCK_STEP,
-        FaultKind.DRAIN,
-    )
-)
-"""Faults that neither end a stream nor hold up what its engine has written for long."""
-_SHUTDOWN_S = 5.0
-"""Time after SIGTERM within which a node may still be shutting down."""
 _ANSWER_LEAD_S = 0.3
 """An answer that the engine completed this long before the client's deadline must reach the client."""
 
 
-@dataclass
-class _Request:
-    """What the records say about one request."""
-
-    name: str
-    node: str = ""
-    effect: str = ""
-    sent: float = 0.0
-    budget: float = 0.0
-    left: float = 0.0
-    kept: bool = False
-    """Whether it was sent on a kept connection."""
-    answer: dict[str, Any] | None = None
-    bytes: list[tuple[float, str, float]] = field(default_factory=list)
-    """For each attempt: when its bytes left the node, for which engine, and the time budget it carried."""
-    taken: list[tuple[float, str]] = field(default_factory=list)
-    rejected: int = 0
-    """Attempts that an engine rejected without running them."""
-
-    @property
-    def engines_and_node(self) -> list[str]:
-        """The engines that took it, and its node."""
-        return [*(engine for _, engine in self.taken), self.node]
-
-
 def judge(world: World, records: list[dict[str, Any]], lag_s: float) -> list[Violation]:
     """Return every violation. `lag_s` is the largest event loop delay measured in the proxies, the agent and the
     clients.
     """
     margin = 0.05 + lag_s
-    requests, fault_spans = _collect(records), _FaultSpans(world, records, margin)
-    process_ends = _ProcessEnds(records, margin)
+    requests, fault_spans = collect_requests(records), FaultSpans(world, records, margin)
+    process_ends = ProcessEnds(records, margin)
     return [
-        *_check_answers(requests.values(), process_ends, _CrowdSpans(world, records), margin),
-        *_check_streams(requests.values(), fault_spans, process_ends),
-        *_check_events(requests.values(), fault_spans, margin),
-        *_check_idle_streams(records, requests, fault_spans, margin),
-        *_check_slow_streams(world, records, requests, fault_spans, process_ends),
+        *_check_answers(requests.values(), process_ends, CrowdSpans(world, records), margin),
+        *check_streams(requests.values(), fault_spans, process_ends),
+        *check_events(requests.values(), fault_spans, margin),
+        *check_idle_streams(records, requests, fault_spans, margin),
+        *check_slow_streams(world, records, requests, fault_spans, process_ends),
         *_check_states(world, records, _EngineReachability(world, records), process_ends, margin),
         *_check_repeats(requests.values(), margin),
         *_check_disconnects(requests.values(), margin),
@@ -117,87 +74,8 @@
     ]
 
 
-class _ProcessEnds:
-    """When nodes and engines were sent SIGTERM and SIGKILL."""
-
-    def __init__(self, records: list[dict[str, Any]], margin: float) -> None:
-        """A request sent less than `margin` before a kill can't be answered any more. For as long after a kill
-        is recorded, the process may still accept connections.
-        """
-        self.margin = margin
-        self.killed: dict[str, list[float]] = defaultdict(list)
-        self.terminated: dict[str, list[float]] = defaultdict(list)
-        for record in records:
-            if record["event"] == "killed":
-                self.killed[record["target"]].append(record["t"])
-            elif record["event"] == "terminated":
-                self.terminated[record["target"]].append(record["t"])
-
-    def kill_after(self, name: str, moment: float) -> float:
-        """The first kill at or after a moment; infinity if there is none."""
-        return min((at for at in self.killed[name] if at >= moment), default=float("inf"))
-
-    def may_have_lost(self, name: str, sent: float, answered_by: float) -> bool:
-        """Whether a request may have been lost with its node. It may if the node was killed without a SIGTERM in
-        the 5 s before, or if the request came before that SIGTERM or shortly after it.
-        """
-        kill = self.kill_after(name, sent - self.margin)
-        if kill > answered_by:
-            return False
-        if sent > kill - self.margin:
-            return True
-        term = max((at for at in self.terminated[name] if at <= kill), default=None)
-        return term is None or kill - term > 5.0 or sent <= term + _LOSS_AFTER_SIGTERM_S
-
-
-def _collect(records: list[dict[str, Any]]) -> dict[str, _Request]:
-    requests: dict[str, _Request] = {}
-    for record in records:
-        if "id" not in record:
-            continue
-        request = requests.setdefault(record["id"], _Request(record["id"]))
-        match record["event"]:
-            case "sent":
-                request.node, request.effect, request.sent, request.budget = (
-                    record["node"],
-                    record["effect"],
-                    record["t"],
-                    record["budget"],
-                )
-                request.kept = record["kept"]
-            case "left":
-                request.left = record["t"]
-            case "answer":
-                request.answer = record
-            case "bytes":
-                request.bytes.append((record["t"], record["who"].removeprefix("p-"), record["budget"]))
-            case "taken":
-                request.taken.append((record["t"], record["who"]))
-            case "rejected":
-                request.rejected += 1
-    return requests
-
-
-class _CrowdSpans:
-    """When idle clients may have used up a node's descriptors. The node may then close new connections unread."""
-
-    def __init__(self, world: World, records: list[dict[str, Any]]) -> None:
-        self._spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
-        for record in records:
-            if record["event"] == "fault" and record["kind"] == FaultKind.CROWD.value:
-                self._spans[record["target"]].append((record["t"], world.began + record["until"]))
-
-    def may_have_closed(self, request: _Request, margin: float) -> bool:
-        """Whether the node may have closed the request's new connection unread."""
-        assert request.answer
-        is_closed = request.answer["status"] == 0 and not request.kept and not request.bytes
-        return is_closed and any(
-            begin - margin <= request.sent <= end + margin for begin, end in self._spans[request.node]
-        )
-
-
 def _check_answers(
-    requests: Any, process_ends: _ProcessEnds, crowd_spans: _CrowdSpans, margin: float
+    requests: Any, process_ends: ProcessEnds, crowd_spans: CrowdSpans, margin: float
 ) -> list[Violation]:
     """Each request gets a final answer in time."""
     found = []
@@ -222,118 +100,6 @@
     return found
 
 
-class _FaultSpans:
-    """When a fault affected an engine, the connections to it, or a node."""
-
-    def __init__(self, world: World, records: list[dict[str, Any]], margin: float) -> None:
-        """`margin` is how late the process that plays a fault may end it."""
-        self._spans: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
-        for record in records:
-            if record["event"] == "fault" and record["kind"] not in _TOLERATED_KINDS:
-                delay = record["amount"] if record["kind"] == FaultKind.DELAY.value else 0.0
-                # Other processes start the fault by the schedule, shortly before the runner records it.
-                start = min(record["t"], world.began + record.get("at", float("inf")))
-                end = world.began + record["until"] + delay + margin
-                self._spans[record["target"]].append((start, end, record["kind"]))
-
-    def affected(self, request: _Request, but: frozenset[str] = frozenset()) -> bool:
-        """Whether a fault, other than of the kinds `but`, affected the request's node or one of its engines before
-        its answer ended.
-        """
-        assert request.answer
-        ended = request.sent + request.answer["after"]
-        return any(
-            start <= ended and end >= request.sent and kind not in but
-            for name in request.engines_and_node
-            for start, end, kind in self._spans[name]
-        )
-
-
-def _check_streams(requests: Any, fault_spans: _FaultSpans, process_ends: _ProcessEnds) -> list[Violation]:
-    """An answer that has begun continues or is cut off; it may only get stuck if a fault affected its engine or
-    node meanwhile. The settings leave it to the client to resume an answer that was cut off.
-    """
-    return [
-        Violation("stream", request.name, f"stuck: {request.answer} from {request.engines_and_node}")
-        for request in requests
-        if request.answer
-        and request.answer["status"] == 200
-        and request.answer.get("given_up")
-        and not fault_spans.affected(request)
-        and not process_ends.may_have_lost(request.node, request.sent, request.sent + request.answer["after"])
-    ]
-
-
-def _check_events(requests: Any, fault_spans: _FaultSpans, margin: float) -> list[Violation]:
-    """Events reach the client without delay unless a fault affected the request."""
-    allowed = _MAX_EVENT_DELAY_S + margin
-    return [
-        Violation(
-            "event held back",
-            request.name,
-            f"{request.answer['held_back']:.3f} s, from {request.engines_and_node}",
-        )
-        for request in requests
-        if request.answer
-        and request.answer.get("held_back", 0.0) > allowed
-        and not fault_spans.affected(request)
-    ]
-
-
-def _check_idle_streams(
-    records: list[dict[str, Any]], requests: dict[str, _Request], fault_spans: _FaultSpans, margin: float
-) -> list[Violation]:
-    """A client is let go in time after the last event of an engine that has stopped, or after its own rest."""
-    found = []
-    for record in records:
-        request = requests[record["id"]] if record["event"] == "last event" else None
-        if request is None or request.answer is None or request.left:
-            continue
-        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
-            continue
-        by = max(
-            record["t"] + _MAX_WAIT_AFTER_EVENT_S,
-            request.answer.get("rested_until", 0.0) + _MAX_WAIT_AFTER_REST_S,
-        )
-        ended = request.sent + request.answer["after"]
-        if ended > by + _NODE_PAUSE_S + margin:
-            found.append(
-                Violation(
-                    "idle stream", request.name, f"let go {ended - record['t']:.3f} s after the last event"
-                )
-            )
-    return found
-
-
-def _check_slow_streams(
-    world: World,
-    records: list[dict[str, Any]],
-    requests: dict[str, _Request],
-    fault_spans: _FaultSpans,
-    process_ends: _ProcessEnds,
-) -> list[Violation]:
-    """A stream whose events still come is not cut off, unless its client may resume it elsewhere."""
-    if world.schedule.may_resume:
-        return []
-    found = []
-    for record in records:
-        request = requests[record["id"]] if record["event"] == "slow" else None
-        if request is None or request.answer is None or request.left:
-            continue
-        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
-            continue
-        is_cut_off = request.answer["status"] == 200 and not request.answer["whole"]
-        ended = request.sent + request.answer["after"]
-        is_at_the_end = ended > world.began + world.schedule.seconds
-        is_shutting_down = any(abs(ended - at) < _SHUTDOWN_S for at in process_ends.terminated[request.node])
-        is_killed = process_ends.kill_after(request.node, request.sent) <= ended
-        if is_cut_off and not (is_at_the_end or is_shutting_down or is_killed):
-            found.append(
-                Violation("slow stream", request.name, f"cut off {ended - record['t']:.3f} s after an event")
-            )
-    return found
-
-
 def _is_unresponsive(fault: dict[str, Any]) -> bool:
     """Whether the fault keeps an engine from answering in time."""
     return fault["kind"] in _UNRESPONSIVE_KINDS or (
@@ -371,7 +137,7 @@
     world: World,
     records: list[dict[str, Any]],
     reachable: _EngineReachability,
-    process_ends: _ProcessEnds,
+    process_ends: ProcessEnds,
     margin: float,
 ) -> list[Violation]:
     """Each KV state is taken by a decode attempt or released in time, measured by what reached a running engine.
@@ -437,7 +203,7 @@
         for request in requests
         if request.left
         for at, engine, _ in request.bytes
-        if at > request.left + _AFTER_DISCONNECT_S + _NODE_PAUSE_S + margin
+        if at > request.left + _AFTER_DISCONNECT_S + NODE_PAUSE_S + margin
     ]
 
 
@@ -462,7 +228,7 @@
 
 
 def _check_drains(
-    records: list[dict[str, Any]], requests: dict[str, _Request], margin: float
+    records: list[dict[str, Any]], requests: dict[str, Request], margin: float
 ) -> list[Violation]:
     """A draining engine gets no new attempts once the list has said so for the drain grace period."""
     spans: dict[str, list[list[float]]] = defaultdict(list)
@@ -482,7 +248,7 @@
         for request in requests.values()
         for at, engine, _ in request.bytes
         for begin, end in spans[engine]
-        if begin + DRAIN_GRACE_S + _NODE_PAUSE_S + margin < at < end
+        if begin + DRAIN_GRACE_S + NODE_PAUSE_S + margin < at < end
     ]
 
 
@@ -503,9 +269,9 @@
 def _check_advice(
     world: World,
     records: list[dict[str, Any]],
-    requests: dict[str, _Request],
-    fault_spans: _FaultSpans,
-    process_ends: _ProcessEnds,
+    requests: dict[str, Request],
+    fault_spans: FaultSpans,
+    process_ends: ProcessEnds,
     margin: float,
 ) -> list[Violation]:
     """A complete answer that an engine sent in time reaches the client, whatever load reports and token counts
@@ -537,7 +303,7 @@
             engine == record["who"] and begin <= record["t"] <= end for engine, begin, end in hostile
         )
         is_shutting_down = any(
-            abs(record["t"] - at) < _SHUTDOWN_S for at in process_ends.terminated[request.node]
+            abs(record["t"] - at) < SHUTDOWN_S for at in process_ends.terminated[request.node]
         )
         is_cut_off = has_hostile_values and not is_shutting_down and not request.answer["whole"]
         if request.answer["status"] != 200 or is_cut_off:
@@ -546,7 +312,7 @@
 
 
 def _check_commands(
-    records: list[dict[str, Any]], process_ends: _ProcessEnds, margin: float
+    records: list[dict[str, Any]], process_ends: ProcessEnds, margin: float
 ) -> list[Violation]:
     """Commands pipelined on one connection are all answered, or none if the node closed the connection unread. A
     node that is shutting down may close the connection after some of the answers.
@@ -557,20 +323,20 @@
         if record["event"] == "commands"
         and 0 < record["answered"] < record["sent"]
         and not any(
-            abs(record["t"] - at) < _SHUTDOWN_S + margin for at in process_ends.terminated[record["node"]]
+            abs(record["t"] - at) < SHUTDOWN_S + margin for at in process_ends.terminated[record["node"]]
         )
-        and process_ends.kill_after(record["node"], record["t"] - _SHUTDOWN_S) > record["t"] + margin
+        and process_ends.kill_after(record["node"], record["t"] - SHUTDOWN_S) > record["t"] + margin
     ]
 
 
 def _check_stalled_clients(
-    records: list[dict[str, Any]], process_ends: _ProcessEnds, margin: float
+    records: list[dict[str, Any]], process_ends: ProcessEnds, margin: float
 ) -> list[Violation]:
     """A client that stalls in the middle of a request gets an error, or its connection is closed."""
     return [
         Violation("stalled client", record["id"], f"nothing for {record['after']:.3f} s")
         for record in records
         if record["event"] == "stalled"
-        and record["after"] > _STALLED_CLIENT_S + _NODE_PAUSE_S + margin
+        and record["after"] > _STALLED_CLIENT_S + NODE_PAUSE_S + margin
         and process_ends.kill_after(record["node"], record["t"] - record["after"]) > record["t"]
     ]
