--- a/tuliptrack/rpc/json_text.py
+++ b/tuliptrack/rpc/json_text.py
@@ -16,8 +16,8 @@
 __all__ = ["InvalidJsonError", "is_number_within", "parse_json", "parse_json_pruned"]
 
 MAX_REASON_CHARACTERS = 200
-MAX_KEPT_DEPTH = 64
-"""Number of levels that are kept of a text that is nested too deeply."""
+MAX_DEPTH = 64
+"""Number of levels that remain of a text that is nested too deeply."""
 _TOKEN = re.compile(r'"(?:[^"\\]|\\.)*+(?:"|\\?\Z)|[\[\]{}]', re.DOTALL)
 """A string, or the begin or the end of an array or an object. A string without an end reaches to the end of the
 text, so that it is searched once."""
@@ -80,22 +80,22 @@
 
 
 def _prune(text: str) -> str:
-    """Return a text with `null` in place of each array and object below `MAX_KEPT_DEPTH` levels."""
-    kept: list[str] = []
-    depth, kept_from = 0, 0
+    """Return a text with `null` in place of each array and object below `MAX_DEPTH` levels."""
+    parts: list[str] = []
+    depth, rest_from = 0, 0
     for token in _TOKEN.finditer(text):
         if token[0] in "[{":
             depth += 1
-            if depth == MAX_KEPT_DEPTH + 1:
-                kept.append(text[kept_from : token.start()])
+            if depth == MAX_DEPTH + 1:
+                parts.append(text[rest_from : token.start()])
         elif token[0] in "]}":
             depth -= 1
-            if depth == MAX_KEPT_DEPTH:
-                kept.append("null")
-                kept_from = token.end()
-    if depth <= MAX_KEPT_DEPTH:
-        kept.append(text[kept_from:])
-    return "".join(kept)
+            if depth == MAX_DEPTH:
+                parts.append("null")
+                rest_from = token.end()
+    if depth <= MAX_DEPTH:
+        parts.append(text[rest_from:])
+    return "".join(parts)
 
 
 def _integer_or_infinity(digits: str) -> int | float:
