--- a/tests/rpc/test_json_text.py
+++ b/tests/rpc/test_json_text.py
@@ -47,6 +47,13 @@
         parse_json_pruned(text)
 
 
+# Guards against another error than callers expect: the text was decoded otherwise than by Python's parser.
+@pytest.mark.parametrize("encoding", ["utf-8", "utf-16", "utf-32-le"])
+def test_a_deep_text_is_decoded_as_any_other(encoding: str) -> None:
+    deep = '{"a": "\ud800", "b": ' + "[" * 100_000 + "]" * 100_000 + "}"
+    assert parse_json_pruned(deep.encode(encoding, "surrogatepass"))["a"] == "\ud800"
+
+
 def test_a_number_with_too_many_digits_does_not_affect_other_values() -> None:
     digits = "9" * 5_000
     assert parse_json(f'{{"a": {digits}, "b": 7, "c": -{digits}}}') == {"a": math.inf, "b": 7, "c": -math.inf}
--- a/tuliptrack/rpc/json_text.py
+++ b/tuliptrack/rpc/json_text.py
@@ -40,7 +40,9 @@
     try:
         return parse_json(text)
     except NestedTooDeeplyError:
-        return parse_json(_prune(text.decode() if isinstance(text, bytes) else text))
+        if isinstance(text, bytes):
+            text = text.decode(json.detect_encoding(text), "surrogatepass")  # As `json.loads` has done.
+        return parse_json(_prune(text))
 
 
 def parse_json(text: str | bytes) -> Any:
