Streams: no copy of each event, one look at a paused connection, one way to free a body

Each event went through the buffer of what comes before the first one; a connection was looked at twice as its pause ended; close() of a response writer had become free_body(); a parameter hid the function of its name.

--- a/tests/decisions/test_call_ids.py
+++ b/tests/decisions/test_call_ids.py
@@ -15,7 +15,7 @@
     ids.end("a")
     assert ids.verdict("a")
     ids.begin("a")
-    ids.end("a", may_run_again=False)
+    ids.end("a", is_reusable=False)
     assert ids.verdict("a") is CallIdVerdict.EXECUTED and not ids.open
 
 
@@ -23,7 +23,7 @@
 def test_the_oldest_ids_are_forgotten_beyond_the_bound() -> None:
     ids = CallIdRegister()
     for number in range(MAX_EXECUTED_IDS + 10):
-        ids.end(str(number), may_run_again=False)
+        ids.end(str(number), is_reusable=False)
     assert len(ids._executed) == MAX_EXECUTED_IDS
     assert ids.verdict("9") and not ids.verdict("10")
 
--- a/tuliptrack/decisions/call_ids.py
+++ b/tuliptrack/decisions/call_ids.py
@@ -64,10 +64,10 @@
         """Note that a request is open, under an id that is allowed."""
         self.open.add(call_id)
 
-    def end(self, call_id: str, may_run_again: bool = True) -> None:
-        """Note that a request and its attempts are over."""
+    def end(self, call_id: str, is_reusable: bool = True) -> None:
+        """Note that a request and its attempts are over, and whether its id may be used again."""
         self.open.discard(call_id)
-        if may_run_again:
+        if is_reusable:
             return
         self._executed[call_id] = None
         if len(self._executed) > MAX_EXECUTED_IDS:
--- a/tuliptrack/node/attempt_call.py
+++ b/tuliptrack/node/attempt_call.py
@@ -31,7 +31,8 @@
     def sample_unread(self) -> bool:
         """Return whether output of the engine waits to be read, because the attempt is paused.
 
-        It has to be called regularly during a pause, as it also dates what has arrived since the last call.
+        It has to be called regularly during a pause, and before `resume`, as it also dates what has arrived
+        since the last call.
         """
 
     def pause(self) -> None:
--- a/tuliptrack/node/stream_monitor.py
+++ b/tuliptrack/node/stream_monitor.py
@@ -19,7 +19,7 @@
     StreamVerdict.ENGINE_IDLE: (Failure.BROKEN, io.Status.RESET),
     StreamVerdict.CLIENT_STALLED: (Failure.STALLED, io.Status.CANCELLED),
 }
-"""How a request and its attempt end."""
+"""The failure of the request, and the status with which its attempt is cancelled."""
 
 
 class StreamMonitor:
--- a/tuliptrack/relay/event_stream.py
+++ b/tuliptrack/relay/event_stream.py
@@ -181,13 +181,14 @@
             self._read_field(text)
         elif self._block:
             self._read_block()
-            self._held += self._block
-            self._held += line
-            self._block.clear()
-            self._last_kind = _LineKind.FORWARDED if self.event_count else _LineKind.HELD
             if self.event_count:
                 events += self._held
                 self._held.clear()
+            output = events if self.event_count else self._held
+            output += self._block
+            output += line
+            self._block.clear()
+            self._last_kind = _LineKind.FORWARDED if self.event_count else _LineKind.HELD
         else:
             self._last_kind = _LineKind.DROPPED
 
--- a/tuliptrack/relay/front.py
+++ b/tuliptrack/relay/front.py
@@ -56,14 +56,10 @@
         self.front, self.call = front, call
         self._forwarded, self._reservation = forwarded, reservation
 
-    def close(self) -> None:
-        """Free the body of the request, which has ended; may be called more than once."""
-        self._free_body()
-
     def events(self, data: bytes) -> bool:
         """Forward complete events; return False if the client reads too slowly."""
         if not self.call.started:
-            self._free_body()
+            self.free_body()
             self.call.start(_OK, "text/event-stream")
         return self.call.send(data)
 
@@ -73,12 +69,12 @@
 
     def served(self) -> None:
         """End the answer."""
-        self.close()
+        self.free_body()
         self.call.end()
 
     def rejected(self, reason: str, retry_after_us: int) -> None:
         """Answer that the request was not served."""
-        self.close()
+        self.free_body()
         headers: Fields = []
         if retry_after_us > 0 and self.front.core.settings.may_send_retry_after:
             headers = _retry_after(max(retry_after_us / 1e6, MIN_RETRY_AFTER_S))
@@ -86,15 +82,16 @@
 
     def failed(self, failure: Failure, reason: str, next_index: int) -> None:
         """Answer that the request failed; if the answer has started, abort the connection."""
-        self.close()
+        self.free_body()
         if self.call.started:
             self.call.abort()
         else:
             self.call.error(_STATUS_BY_FAILURE[failure], f"failed: {reason}")
 
-    def _free_body(self) -> None:
-        """Free the body: a request that has ended, or whose answer has started, makes no further attempt.
+    def free_body(self) -> None:
+        """Free the body; may be called more than once.
 
+        A request that has ended, or whose answer has started, makes no further attempt.
         The record of a request may outlive its end, with an attempt that may not be cancelled; it would keep
         the body in memory after the budget has given the bytes to another request.
         """
@@ -181,13 +178,13 @@
         try:
             handle: RequestHandle = self.core.submit(request, writer)
         except InvalidRequestError:
-            writer.close()
+            writer.free_body()
             self.call_ids.end(call_id)
             raise
 
         def handle_disconnect(reason: str) -> None:
             handle.disconnected(reason)
-            writer.close()
+            writer.free_body()
 
         call.on_cancelled, call.on_writable = handle_disconnect, handle.writable
 
--- a/tuliptrack/rpc/http1_client.py
+++ b/tuliptrack/rpc/http1_client.py
@@ -270,7 +270,6 @@
         self._update_reading()
 
     def resume(self) -> None:
-        self.sample_unread()
         self._is_held = False
         self._update_reading()
 
