--- a/tuliptrack/lab/soak/engine.py
+++ b/tuliptrack/lab/soak/engine.py
@@ -43,7 +43,7 @@
         self.hostile_turn: int | None = None
         """Number of the unusable value in its load reports and token counts; None: it sends none."""
         self.stream_fault: FaultKind | None = None
-        """How the engine disturbs the streams that it writes; None: not at all."""
+        """The kind of fault with which the engine disturbs its streams; None: none."""
         self.writes_large_events = False
         self._states = folder / "states"
         self._states.mkdir(exist_ok=True)
--- a/tuliptrack/lab/soak/evidence.py
+++ b/tuliptrack/lab/soak/evidence.py
@@ -114,6 +114,10 @@
         """The first kill at or after a moment; infinity if there is none."""
         return min((at for at in self.killed[name] if at >= moment), default=float("inf"))
 
+    def is_shutting_down(self, name: str, moment: float, margin: float = 0.0) -> bool:
+        """Whether a node got SIGTERM so close to a moment that it may have been shutting down."""
+        return any(abs(moment - at) < SHUTDOWN_S + margin for at in self.terminated[name])
+
     def may_have_lost(self, name: str, sent: float, answered_by: float) -> bool:
         """Whether a request may have been lost with its node. It may if the node was killed without a SIGTERM in
         the 5 s before, or if the request came before that SIGTERM or shortly after it.
--- a/tuliptrack/lab/soak/judge.py
+++ b/tuliptrack/lab/soak/judge.py
@@ -302,9 +302,7 @@
         has_hostile_values = any(
             engine == record["who"] and begin <= record["t"] <= end for engine, begin, end in hostile
         )
-        is_shutting_down = any(
-            abs(record["t"] - at) < SHUTDOWN_S for at in process_ends.terminated[request.node]
-        )
+        is_shutting_down = process_ends.is_shutting_down(request.node, record["t"])
         is_cut_off = has_hostile_values and not is_shutting_down and not request.answer["whole"]
         if request.answer["status"] != 200 or is_cut_off:
             found.append(Violation("advice", request.name, f"answered by {record['who']}: {request.answer}"))
@@ -322,9 +320,7 @@
         for record in records
         if record["event"] == "commands"
         and 0 < record["answered"] < record["sent"]
-        and not any(
-            abs(record["t"] - at) < SHUTDOWN_S + margin for at in process_ends.terminated[record["node"]]
-        )
+        and not process_ends.is_shutting_down(record["node"], record["t"], margin)
         and process_ends.kill_after(record["node"], record["t"] - SHUTDOWN_S) > record["t"] + margin
     ]
 
--- a/tuliptrack/lab/soak/stream_checks.py
+++ b/tuliptrack/lab/soak/stream_checks.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Any
 
-from tuliptrack.lab.soak.evidence import NODE_PAUSE_S, SHUTDOWN_S, FaultSpans, ProcessEnds, Request
+from tuliptrack.lab.soak.evidence import NODE_PAUSE_S, FaultSpans, ProcessEnds, Request
 from tuliptrack.lab.soak.schedule import FaultKind
 from tuliptrack.lab.soak.settings import World
 from tuliptrack.lab.soak.violation import Violation
@@ -63,23 +64,12 @@
 ) -> list[Violation]:
     """A client is let go in time after the last event of an engine that has stopped, or after its own rest."""
     found = []
-    for record in records:
-        request = requests[record["id"]] if record["event"] == "last event" else None
-        if request is None or request.answer is None or request.left:
-            continue
-        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
-            continue
-        by = max(
-            record["t"] + _MAX_WAIT_AFTER_EVENT_S,
-            request.answer.get("rested_until", 0.0) + _MAX_WAIT_AFTER_REST_S,
-        )
-        ended = request.sent + request.answer["after"]
+    for at, request, answer in _undisturbed("last event", records, requests, fault_spans):
+        by = max(at + _MAX_WAIT_AFTER_EVENT_S, answer.get("rested_until", 0.0) + _MAX_WAIT_AFTER_REST_S)
+        ended = request.sent + answer["after"]
         if ended > by + NODE_PAUSE_S + margin:
-            found.append(
-                Violation(
-                    "idle stream", request.name, f"let go {ended - record['t']:.3f} s after the last event"
-                )
-            )
+            text = f"let go {ended - at:.3f} s after the last event"
+            found.append(Violation("idle stream", request.name, text))
     return found
 
 
@@ -94,19 +84,25 @@
     if world.schedule.may_resume:
         return []
     found = []
-    for record in records:
-        request = requests[record["id"]] if record["event"] == "slow" else None
-        if request is None or request.answer is None or request.left:
-            continue
-        if fault_spans.affected(request, _HARMLESS_TO_STREAMS):
-            continue
-        is_cut_off = request.answer["status"] == 200 and not request.answer["whole"]
-        ended = request.sent + request.answer["after"]
+    for at, request, answer in _undisturbed("slow", records, requests, fault_spans):
+        is_cut_off = answer["status"] == 200 and not answer["whole"]
+        ended = request.sent + answer["after"]
         is_at_the_end = ended > world.began + world.schedule.seconds
-        is_shutting_down = any(abs(ended - at) < SHUTDOWN_S for at in process_ends.terminated[request.node])
+        is_shutting_down = process_ends.is_shutting_down(request.node, ended)
         is_killed = process_ends.kill_after(request.node, request.sent) <= ended
         if is_cut_off and not (is_at_the_end or is_shutting_down or is_killed):
-            found.append(
-                Violation("slow stream", request.name, f"cut off {ended - record['t']:.3f} s after an event")
-            )
+            text = f"cut off {ended - at:.3f} s after an event"
+            found.append(Violation("slow stream", request.name, text))
     return found
+
+
+def _undisturbed(
+    event: str, records: list[dict[str, Any]], requests: dict[str, Request], fault_spans: FaultSpans
+) -> Iterator[tuple[float, Request, dict[str, Any]]]:
+    """Yield when engines recorded this event, with the request and its answer, where no other fault excuses it."""
+    for record in records:
+        request = requests[record["id"]] if record["event"] == event else None
+        if request is None or request.answer is None or request.left:
+            continue
+        if not fault_spans.affected(request, _HARMLESS_TO_STREAMS):
+            yield record["t"], request, request.answer
--- a/tuliptrack/lab/soak/stream_faults.py
+++ b/tuliptrack/lab/soak/stream_faults.py
@@ -1,4 +1,4 @@
-"""How an engine of a soak disturbs the streams that it writes: it stops, writes slowly, or writes what is no event.
+"""The ways in which an engine of a soak disturbs its streams: it stops, writes slowly, or writes what is no event.
 
 The engine keeps a stream open until its node lets it go, and records the last event that it wrote.
 """
@@ -31,7 +31,7 @@
 )
 _NON_EVENT_PAUSE_S = (0.1, 1.5)
 _GAP_S = (1.0, 4.4)
-"""How long a slow engine takes from one event to the next: less than a node has to bear."""
+"""Time that a slow engine takes from one event to the next: less than a node has to bear."""
 _PIECES = 20
 _CHECK_INTERVAL_S = 0.05
 _LONGEST_S = 30.0
